--- /dev/null
+++ b/src/core/actions.hpp
@@ -0,0 +1,142 @@
+// What the core returns: calls to make, answers to give, lines to log.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/types.hpp"
+
+namespace cranemoor::core {
+
+using Json = nlohmann::json;
+
+struct Condition {
+    std::string key;
+    Revision revision = 0;  // 0: the key must not exist
+};
+
+struct Write {
+    std::string key;
+    std::optional<Json> value;  // none: delete
+    std::uint64_t lease = 0;    // 0: not attached
+};
+
+struct Txn {
+    std::vector<Condition> conditions;
+    std::vector<Write> writes;
+};
+
+struct StateCall {
+    enum class Kind { txn, get, list, watch, grant, renew };
+    std::uint64_t id = 0;
+    Kind kind = Kind::txn;
+    Txn txn;
+    std::string key;     // get: the key; list, watch: the prefix
+    std::string after;   // list: the key to begin after
+    Revision since = 0;  // watch
+    std::uint64_t lease = 0;
+};
+
+struct Event {
+    std::string key;
+    std::optional<Json> value;  // none: deleted
+    Revision revision = 0;
+};
+
+struct StateReply {
+    enum class Status {
+        ok,
+        conflict,   // a condition did not hold
+        not_found,  // no such key or lease
+        compacted,  // a watch began too far back
+        refused,    // not executed: overloaded or out of service
+        bad,        // malformed, or an ended lease
+        unknown     // may have been executed, may yet be
+    };
+    Status status = Status::unknown;
+    Revision revision = 0;
+    std::vector<std::string> failed;
+    Json value;
+    std::uint64_t lease = 0;
+    std::vector<Event> events;  // list and watch
+    bool more = false;
+};
+
+struct CloudCall {
+    enum class Kind { types, rent, release, list };
+    std::uint64_t id = 0;
+    Kind kind = Kind::list;
+    std::string request;  // rent: its name
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    int count = 0;
+    std::vector<std::string> machines;  // release
+    std::string after;                  // list
+};
+
+struct CloudReply {
+    enum class Status { ok, no_capacity, refused, bad, unknown };
+    Status status = Status::unknown;
+    std::vector<MachineType> types;
+    std::vector<std::string> machines;
+    std::vector<ListedMachine> listed;
+    bool more = false;
+};
+
+struct UserReply {
+    std::uint64_t request = 0;
+    int status = 503;
+    std::string uid;
+    std::string state;  // queued, running, done, cancelled
+    std::optional<std::pair<int, int>> counts;  // done, running
+    std::string error;
+};
+
+struct WorkerReply {
+    std::uint64_t request = 0;
+    int status = 503;
+    Token token = 0;
+    std::string home;  // with 421
+    std::vector<Command> commands;
+};
+
+// Commands sent to a worker's own address; without commands it raises the token. A session of 0
+// asks for the status only.
+struct OrderCall {
+    std::uint64_t id = 0;
+    std::string machine;
+    std::string address;
+    Token token = 0;
+    std::uint64_t session = 0;
+    std::vector<Command> commands;
+};
+
+struct OrderReply {
+    bool answered = false;
+    bool executed = false;
+    std::optional<Report> report;
+};
+
+// A message to a peer; relays carry a report and expect a worker's answer.
+struct PeerCall {
+    std::uint64_t id = 0;
+    std::string peer;
+    bool state_contact = false;
+    std::optional<Report> relay;
+};
+
+struct LogLine {
+    enum class Level { error, info, debug };
+    Level level = Level::info;
+    std::string text;
+};
+
+using Action = std::variant<StateCall, CloudCall, UserReply, WorkerReply, OrderCall, PeerCall,
+                            LogLine>;
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/constants.hpp
@@ -0,0 +1,143 @@
+// Every constant of the service, with its unit and the reason for its value.
+// What an operator may change is in Tunables; config/operators.cpp reads it from XML.
+#pragma once
+
+#include <cstddef>
+
+namespace cranemoor::core {
+
+// Operators' tunables and their defaults.
+struct Tunables {
+    // seconds a job passes over machines that lack its image (W of the paper's Algorithm 3)
+    double locality_wait_s = 3.0;
+    // seconds that the first gang in its team's order holds freeing room
+    double gang_hold_s = 20.0;
+    // seconds a team may stay below its guarantee before newer work of others is stopped
+    double share_timeout_s = 6.0;
+    // machines' worth of free room kept for work that has not come yet
+    double headroom_machines = 2.0;
+    // seconds an empty machine beyond the headroom is kept: a boot costs more than that
+    double idle_return_s = 45.0;
+    // seconds without a report after which a machine is probed and then fenced
+    double silence_s = 9.0;
+};
+
+namespace constants {
+
+// --- membership ---------------------------------------------------------------------------
+// ms; long enough for two lost renewals and a slow answer of the state service
+inline constexpr int member_lease_ms = 3000;
+// s between renewals: a fourth of the lease
+inline constexpr double renew_every_s = 0.75;
+// s each further member waits before it removes a dead one, so that one does it
+inline constexpr double removal_stagger_s = 0.4;
+// s between attempts to join or to load after a refusal
+inline constexpr double retry_state_s = 0.25;
+// s of margin before the point where silence towards workers is needed for a cancellation
+inline constexpr double cancel_margin_s = 3.0;
+// s without state contact after which users are told to go elsewhere
+inline constexpr double contact_lost_s = 1.5;
+// s between peers' messages about their state contact
+inline constexpr double peer_beat_s = 1.0;
+// s a peer's word about its state contact is believed
+inline constexpr double peer_word_s = 3.0;
+
+// --- state service ------------------------------------------------------------------------
+// s; an answer later than this is taken as "may have been executed"
+inline constexpr double state_timeout_s = 2.0;
+// ms; one watch stays open this long at the most
+inline constexpr int watch_hold_ms = 8000;
+// s beyond its hold after which a watch without answer is opened anew; watches stay open
+// during an outage, so this must not be short
+inline constexpr double watch_grace_s = 2.0;
+// 1/s watches reopened by a controller: a share of the request limit, see RateBudget
+inline constexpr double watch_share = 0.12;
+// s between read checks (compare-only transactions) of a controller
+inline constexpr double read_check_every_s = 0.04;
+// fraction of the settings' request limit that one controller may use
+inline constexpr double state_rate_share = 0.5;
+// fraction of the settings' write limit that one controller may use
+inline constexpr double state_write_share = 0.6;
+// s between looks at unused quota slices
+inline constexpr double slice_return_every_s = 2.0;
+// share of a team's limit that must be free of slices before unused ones are kept in hand
+inline constexpr double slice_return_share = 0.25;
+// items asked of one listing page, the service's own maximum
+inline constexpr int list_page = 1000;
+// tasks of one block record at the most; even, so that per-block spread rules add up
+inline constexpr int block_tasks_max = 128;
+// bytes of a value that one placed task may take, rounded up from the longest names seen
+inline constexpr int placement_bytes = 72;
+// bytes of a value kept for a block's other fields
+inline constexpr int block_overhead_bytes = 768;
+// finished jobs whose final state is kept in memory; the state service keeps all
+inline constexpr std::size_t finished_cache = 20000;
+
+// --- users --------------------------------------------------------------------------------
+// s; what a user is told to wait when the service can't take the request now
+inline constexpr int retry_after_s = 1;
+// s a user's request may wait for the state service: below the users' own 2 s for a poll
+inline constexpr double user_wait_s = 1.8;
+// s a submission or cancellation may wait: below the users' own 5 s
+inline constexpr double submit_wait_s = 4.5;
+// requests waiting for the state service at the most; beyond it 503 is the honest answer
+inline constexpr std::size_t user_queue_max = 2000;
+
+// --- workers ------------------------------------------------------------------------------
+// s a report's answer waits for the claims made for it: well below the workers' 4 s
+inline constexpr double report_hold_s = 0.6;
+// s the answer to a machine without tasks is kept open, so that a new job starts at once
+inline constexpr double idle_hold_s = 2.0;
+// s within which a worker that comes back to a wrong controller is taken as cut off from its own
+inline constexpr double relay_window_s = 9.0;
+// s a relayed report may take
+inline constexpr double relay_timeout_s = 2.5;
+// s a direct command or probe may take
+inline constexpr double order_timeout_s = 2.0;
+// s between repeated direct stops of the same task
+inline constexpr double stop_repeat_s = 2.0;
+// s added to a task's own save time as its grace
+inline constexpr double save_margin_s = 2.0;
+// fraction of cancel_s after which a machine that still has a cancelled task is released
+inline constexpr double cancel_fence_share = 0.4;
+// share of an owner's machines that may be silent at once before it suspects itself
+inline constexpr double silent_share = 0.5;
+// machines silent at once that never raise that suspicion
+inline constexpr int silent_few = 2;
+// consecutive errors after which a machine is set aside
+inline constexpr int machine_errors_max = 2;
+// s of pause for a job after its first failed task; doubles up to job_backoff_max_s
+inline constexpr double job_backoff_s = 2.0;
+inline constexpr double job_backoff_max_s = 60.0;
+// distinct machines on which a job failed before its failures stop counting against machines
+inline constexpr int job_bad_machines = 2;
+
+// --- cloud --------------------------------------------------------------------------------
+// s; the cloud's answers take a few hundred ms
+inline constexpr double cloud_timeout_s = 4.0;
+// s between listings by the member that rents, and by the others
+inline constexpr double list_every_s = 2.0;
+inline constexpr double list_every_others_s = 6.0;
+// s between looks at prices and types
+inline constexpr double types_every_s = 60.0;
+// s between provisioning decisions
+inline constexpr double provision_every_s = 0.5;
+// s a type, zone and kind without capacity is left alone
+inline constexpr double no_capacity_s = 12.0;
+// machines asked for in one rental at the most, the cloud's own maximum
+inline constexpr int rental_max = 50;
+// machines named in one release at the most, the cloud's own maximum
+inline constexpr int release_max = 100;
+// machines of one listing page, the cloud's own maximum
+inline constexpr int machines_page = 500;
+// times boot_s after which a booting machine no longer counts as coming
+inline constexpr double boot_late_factor = 2.0;
+// times boot_s after which a machine that never came up is given back
+inline constexpr double boot_dead_factor = 4.5;
+// s a listed running machine may stay unreported before it is fenced
+inline constexpr double unreported_s = 25.0;
+// s a gone machine's mark stays, so that late reports of it are recognised
+inline constexpr double gone_mark_s = 120.0;
+
+}  // namespace constants
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/context.hpp
@@ -0,0 +1,130 @@
+// What the core's parts share: settings, time, the durable records' copy and the way out.
+#pragma once
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/actions.hpp"
+#include "core/constants.hpp"
+#include "core/jobs.hpp"
+#include "core/types.hpp"
+
+namespace cranemoor::core {
+
+class Context {
+  public:
+    using StateDone = std::function<void(const StateReply&)>;
+    using CloudDone = std::function<void(const CloudReply&)>;
+    using OrderDone = std::function<void(const OrderReply&)>;
+    using PeerDone = std::function<void(bool answered, const std::optional<WorkerReply>&)>;
+
+    Context(Settings s, Tunables t, std::string boot_word)
+        : settings(std::move(s)), tunables(t), boot(std::move(boot_word)) {}
+
+    void state(StateCall call, StateDone done) {
+        call.id = ++next_id_;
+        state_done_[call.id] = std::move(done);
+        out.emplace_back(std::move(call));
+    }
+    void txn(Txn txn, StateDone done) {
+        StateCall call;
+        call.kind = StateCall::Kind::txn;
+        call.txn = std::move(txn);
+        state(std::move(call), std::move(done));
+    }
+    void cloud(CloudCall call, CloudDone done) {
+        call.id = ++next_id_;
+        cloud_done_[call.id] = std::move(done);
+        out.emplace_back(std::move(call));
+    }
+    void order(OrderCall call, OrderDone done) {
+        call.id = ++next_id_;
+        order_done_[call.id] = std::move(done);
+        out.emplace_back(std::move(call));
+    }
+    void peer(PeerCall call, PeerDone done) {
+        call.id = ++next_id_;
+        peer_done_[call.id] = std::move(done);
+        out.emplace_back(std::move(call));
+    }
+    template <typename... A>
+    void info(fmt::format_string<A...> f, A&&... a) {
+        out.emplace_back(LogLine{LogLine::Level::info, fmt::format(f, std::forward<A>(a)...)});
+    }
+    template <typename... A>
+    void debug(fmt::format_string<A...> f, A&&... a) {
+        out.emplace_back(LogLine{LogLine::Level::debug, fmt::format(f, std::forward<A>(a)...)});
+    }
+    template <typename... A>
+    void error(fmt::format_string<A...> f, A&&... a) {
+        out.emplace_back(LogLine{LogLine::Level::error, fmt::format(f, std::forward<A>(a)...)});
+    }
+
+    void state_reply(std::uint64_t id, const StateReply& r) { finish(state_done_, id, r); }
+    void cloud_reply(std::uint64_t id, const CloudReply& r) { finish(cloud_done_, id, r); }
+    void order_reply(std::uint64_t id, const OrderReply& r) { finish(order_done_, id, r); }
+    void peer_reply(std::uint64_t id, bool answered, const std::optional<WorkerReply>& r) {
+        finish(peer_done_, id, answered, r);
+    }
+
+    // Runs `then` once the copy of the records has reached a revision.
+    void when_at(Revision revision, std::function<void()> then) {
+        if (jobs.loaded() && jobs.revision() >= revision) {
+            then();
+        } else {
+            waiting_.emplace(revision, std::move(then));
+        }
+    }
+    void run_waiting() {
+        while (!waiting_.empty() && waiting_.begin()->first <= jobs.revision()) {
+            auto then = std::move(waiting_.begin()->second);
+            waiting_.erase(waiting_.begin());
+            then();
+        }
+    }
+
+    Condition epoch_condition() const {
+        return {keys::epoch, jobs.revision_of(keys::epoch)};
+    }
+
+    const Settings settings;
+    const Tunables tunables;
+    const std::string boot;
+    Now now;
+    Jobs jobs;
+    std::vector<Action> out;
+
+    // This process's membership; id 0 while it is in no epoch. Kept by Membership.
+    Member me;
+    bool member = false;
+    Token token = 0;
+    // Block keys with a write of ours under way: no second one is made until it is known.
+    std::set<std::string> busy;
+
+  private:
+    template <typename Map, typename... A>
+    static void finish(Map& map, std::uint64_t id, const A&... a) {
+        auto it = map.find(id);
+        if (it == map.end()) {
+            return;
+        }
+        auto done = std::move(it->second);
+        map.erase(it);
+        done(a...);
+    }
+
+    std::uint64_t next_id_ = 0;
+    std::map<std::uint64_t, StateDone> state_done_;
+    std::map<std::uint64_t, CloudDone> cloud_done_;
+    std::map<std::uint64_t, OrderDone> order_done_;
+    std::map<std::uint64_t, PeerDone> peer_done_;
+    std::multimap<Revision, std::function<void()>> waiting_;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/controller.cpp
@@ -0,0 +1,128 @@
+#include "core/controller.hpp"
+
+namespace cranemoor::core {
+
+Controller::Controller(Settings settings, Tunables tunables, std::string boot)
+    : ctx_(std::move(settings), tunables, std::move(boot)),
+      members_(ctx_),
+      fleet_(ctx_, members_),
+      quota_(ctx_),
+      scheduler_(ctx_, members_, fleet_, quota_),
+      provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
+      requests_(ctx_, members_, fleet_, quota_) {
+    fleet_.on_room = [this](Machine& m) { scheduler_.opportunity(m); };
+    members_.on_change = [this](bool epoch_changed, const std::optional<Epoch>& before) {
+        if (epoch_changed) {
+            fleet_.epoch_changed(before);
+            scheduler_.epoch_changed();
+            provisioner_.epoch_changed();
+        }
+        scheduler_.records_changed();
+        fleet_.records_changed();
+        // A new job needn't wait for the next report of a machine whose answer is open.
+        for (auto& [name, m] : fleet_.machines()) {
+            if (m.request && m.claims == 0 && fleet_.usable(m)) {
+                scheduler_.opportunity(m);
+            }
+        }
+        fleet_.settle_answers();
+    };
+}
+
+void Controller::start(Now now) {
+    ctx_.now = now;
+    members_.start();
+    provisioner_.tick();
+}
+
+void Controller::tick(Now now) {
+    ctx_.now = now;
+    members_.tick();
+    fleet_.tick();
+    quota_.tick();
+    provisioner_.tick();
+    requests_.tick();
+    fence_cancelled();
+}
+
+void Controller::fence_cancelled() {
+    if (!members_.leading()) {
+        return;
+    }
+    // A cancelled task that is still somewhere well after its user was told: its machine can't
+    // be reached, and must be released before the time is up.
+    double limit = ctx_.settings.cancel_s * constants::cancel_fence_share;
+    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
+        if (!job.cancelled || ctx_.now.wall - job.cancelled_wall < limit) {
+            continue;
+        }
+        for (const auto& [task, p] : job.placements()) {
+            if (Machine* m = fleet_.find(p.machine)) {
+                fleet_.mark(*m, "cancelled task still there", true);
+            }
+        }
+    }
+}
+
+void Controller::submit(Now now, std::uint64_t request, const JobSpec& spec) {
+    ctx_.now = now;
+    requests_.submit(request, spec);
+}
+
+void Controller::invalid(Now now, std::uint64_t request, const std::optional<std::string>& uid,
+                         const std::string& error) {
+    ctx_.now = now;
+    requests_.invalid(request, uid, error);
+}
+
+void Controller::poll(Now now, std::uint64_t request, const std::string& uid) {
+    ctx_.now = now;
+    requests_.poll(request, uid);
+}
+
+void Controller::cancel(Now now, std::uint64_t request, const std::string& uid) {
+    ctx_.now = now;
+    requests_.cancel(request, uid);
+}
+
+bool Controller::healthy(Now now) {
+    ctx_.now = now;
+    return members_.healthy() && !fleet_.types().empty();
+}
+
+void Controller::report(Now now, std::uint64_t request, const Report& report, bool relayed) {
+    ctx_.now = now;
+    fleet_.report(request, report, relayed);
+}
+
+void Controller::peer_word(Now now, const std::string& peer, bool contact) {
+    ctx_.now = now;
+    members_.peer_word(peer, contact);
+}
+
+void Controller::state_reply(Now now, std::uint64_t id, const StateReply& reply) {
+    ctx_.now = now;
+    if (reply.status != StateReply::Status::refused &&
+        reply.status != StateReply::Status::unknown) {
+        members_.contact();
+    }
+    ctx_.state_reply(id, reply);
+}
+
+void Controller::cloud_reply(Now now, std::uint64_t id, const CloudReply& reply) {
+    ctx_.now = now;
+    ctx_.cloud_reply(id, reply);
+}
+
+void Controller::order_reply(Now now, std::uint64_t id, const OrderReply& reply) {
+    ctx_.now = now;
+    ctx_.order_reply(id, reply);
+}
+
+void Controller::peer_reply(Now now, std::uint64_t id, bool answered,
+                            const std::optional<WorkerReply>& reply) {
+    ctx_.now = now;
+    ctx_.peer_reply(id, answered, reply);
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/controller.hpp
@@ -0,0 +1,61 @@
+// Controller: composes the parts of the core into one state machine. Every input comes with the
+// time; what there is to send, write, answer and log is returned by take().
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/context.hpp"
+#include "core/fleet.hpp"
+#include "core/membership.hpp"
+#include "core/provisioner.hpp"
+#include "core/quota.hpp"
+#include "core/requests.hpp"
+#include "core/scheduler.hpp"
+
+namespace cranemoor::core {
+
+class Controller {
+  public:
+    Controller(Settings settings, Tunables tunables, std::string boot);
+    Controller(const Controller&) = delete;
+    Controller& operator=(const Controller&) = delete;
+
+    void start(Now now);
+    void tick(Now now);
+
+    void submit(Now now, std::uint64_t request, const JobSpec& spec);
+    void invalid(Now now, std::uint64_t request, const std::optional<std::string>& uid,
+                 const std::string& error);
+    void poll(Now now, std::uint64_t request, const std::string& uid);
+    void cancel(Now now, std::uint64_t request, const std::string& uid);
+    bool healthy(Now now);
+
+    void report(Now now, std::uint64_t request, const Report& report, bool relayed);
+    void peer_word(Now now, const std::string& peer, bool contact);
+
+    void state_reply(Now now, std::uint64_t id, const StateReply& reply);
+    void cloud_reply(Now now, std::uint64_t id, const CloudReply& reply);
+    void order_reply(Now now, std::uint64_t id, const OrderReply& reply);
+    void peer_reply(Now now, std::uint64_t id, bool answered,
+                    const std::optional<WorkerReply>& reply);
+
+    std::vector<Action> take() { return std::exchange(ctx_.out, {}); }
+
+    bool in_contact() const { return members_.in_contact(); }
+    const Context& context() const { return ctx_; }
+    Fleet& fleet() { return fleet_; }
+
+  private:
+    void fence_cancelled();
+
+    Context ctx_;
+    Membership members_;
+    Fleet fleet_;
+    Quota quota_;
+    Scheduler scheduler_;
+    Provisioner provisioner_;
+    Requests requests_;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,921 @@
+#include "core/fleet.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+namespace {
+const char* reason_name(ExitReason why) {
+    switch (why) {
+        case ExitReason::done:
+            return "done";
+        case ExitReason::stopped:
+            return "stopped";
+        case ExitReason::peers_gone:
+            return "peers gone";
+        case ExitReason::incomplete:
+            return "gang incomplete";
+        case ExitReason::error:
+            return "error";
+        case ExitReason::no_room:
+            return "no room";
+        case ExitReason::busy:
+            return "busy";
+        case ExitReason::unknown_task:
+            return "unknown task";
+        default:
+            return "exited";
+    }
+}
+}  // namespace
+
+Machine* Fleet::find(const std::string& name) {
+    auto it = machines_.find(name);
+    return it == machines_.end() ? nullptr : &it->second;
+}
+
+const MachineType* Fleet::type(const std::string& name) const {
+    for (const auto& t : types_) {
+        if (t.name == name) {
+            return &t;
+        }
+    }
+    return nullptr;
+}
+
+void Fleet::set_types(const std::vector<MachineType>& types) { types_ = types; }
+
+// --- images -------------------------------------------------------------------------------
+
+void Fleet::touch_image(Machine& m, const std::string& image, double gb) {
+    m.images.remove_if([&](const auto& i) { return i.first == image; });
+    m.images.emplace_front(image, gb);
+    const MachineType* t = type(m.type);
+    if (t == nullptr) {
+        return;
+    }
+    // The worker keeps the most recently used images; the estimate drops them the same way.
+    double sum = 0;
+    for (auto it = m.images.begin(); it != m.images.end(); ++it) {
+        sum += it->second;
+        if (sum > t->cache_gb && it != m.images.begin()) {
+            m.images.erase(it, m.images.end());
+            break;
+        }
+    }
+}
+
+bool Fleet::has_image(const Machine& m, const std::string& image) const {
+    return std::any_of(m.images.begin(), m.images.end(),
+                       [&](const auto& i) { return i.first == image; });
+}
+
+bool Fleet::image_anywhere(const std::string& image) const {
+    return std::any_of(machines_.begin(), machines_.end(), [&](const auto& m) {
+        return has_image(m.second, image) && ctx_.jobs.mark(m.first) == nullptr;
+    });
+}
+
+// --- room ---------------------------------------------------------------------------------
+
+Resources Fleet::room(const Machine& m) const {
+    const MachineType* t = type(m.type);
+    if (t == nullptr) {
+        return {};
+    }
+    Resources left = t->size - ctx_.jobs.used_on(m.name);
+    // A task that runs there without a placement still takes its room until it is stopped.
+    for (const auto& [attempt, status] : m.tasks) {
+        if (status.state == TaskState::exited) {
+            continue;
+        }
+        const Placement* p = ctx_.jobs.placement(attempt.first);
+        if (p == nullptr || p->machine != m.name) {
+            if (const Job* job = ctx_.jobs.find(attempt.first.uid)) {
+                left -= job->spec.each;
+            }
+        }
+    }
+    return left;
+}
+
+bool Fleet::usable(const Machine& m) const {
+    return m.mine && m.adopted && !m.notice_until && ctx_.now.steady >= m.no_claims_until &&
+           !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
+}
+
+// --- reports ------------------------------------------------------------------------------
+
+void Fleet::refuse(std::uint64_t request, int status, const std::string& home) {
+    WorkerReply reply;
+    reply.request = request;
+    reply.status = status;
+    reply.home = home;
+    ctx_.out.emplace_back(reply);
+}
+
+void Fleet::redirect(std::uint64_t request, const Report& r, const Member* owner, bool relayed) {
+    if (owner == nullptr || relayed) {
+        refuse(request, 421);
+        return;
+    }
+    double& last = redirected_.try_emplace(r.machine, -1e9).first->second;
+    bool again = ctx_.now.steady - last < constants::relay_window_s;
+    last = ctx_.now.steady;
+    if (!again) {
+        refuse(request, 421, owner->name);
+        return;
+    }
+    // The worker was sent to its owner a moment ago and is back: it can't reach it, and its
+    // lease would run out. The report goes over the controllers' own network instead.
+    PeerCall call;
+    call.peer = owner->name;
+    call.state_contact = members_.in_contact();
+    call.relay = r;
+    ctx_.peer(call, [this, request](bool answered, const std::optional<WorkerReply>& reply) {
+        if (!answered || !reply) {
+            refuse(request, 421);
+            return;
+        }
+        WorkerReply passed = *reply;
+        passed.request = request;
+        ctx_.out.emplace_back(passed);
+    });
+}
+
+void Fleet::report(std::uint64_t request, const Report& r, bool relayed) {
+    if (!members_.may_answer_workers()) {
+        refuse(request, 503);
+        return;
+    }
+    if (r.token > ctx_.token) {
+        // A newer epoch exists that this process hasn't heard of: it may not command.
+        refuse(request, 421);
+        return;
+    }
+    const Member* owner = members_.owner(r.machine, r.zone);
+    if (owner == nullptr || owner->id != ctx_.me.id) {
+        redirect(request, r, owner, relayed);
+        return;
+    }
+    Machine& m = machines_[r.machine];
+    if (m.reported && std::tie(r.session, r.seq) <= std::tie(m.session, m.seq)) {
+        // A delayed report: its list of tasks is as old as itself.
+        WorkerReply reply;
+        reply.request = request;
+        reply.status = 200;
+        reply.token = ctx_.token;
+        ctx_.out.emplace_back(reply);
+        return;
+    }
+    if (m.request) {
+        // The worker gave up on the earlier report; nobody reads its answer.
+        refuse(*m.request, 503);
+        m.request.reset();
+    }
+    if (const Mark* mark = ctx_.jobs.mark(r.machine); mark != nullptr && mark->gone) {
+        refuse(request, 503);
+        return;
+    }
+    take_in(m, r);
+    m.last_report = ctx_.now.steady;
+    m.probe_failures = 0;
+    m.request = request;
+    if (r.token == ctx_.token && !m.adopted) {
+        m.adopted = true;
+        ctx_.info("machine {}: adopted in session {} with {} tasks", m.name, m.session,
+                  m.tasks.size());
+    }
+    if (!m.adopted) {
+        answer(m);  // raises its token
+        return;
+    }
+    m.answer_by = ctx_.now.steady + constants::report_hold_s;
+    observe(m, true);
+    flush();
+    if (on_room && usable(m)) {
+        on_room(m);
+    }
+    settle_answers();
+}
+
+void Fleet::take_in(Machine& m, const Report& r) {
+    bool first = !m.reported;
+    m.name = r.machine;
+    m.address = r.address;
+    m.type = r.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    if (first) {
+        m.born = m.born == 0 ? ctx_.now.steady : m.born;
+        ctx_.info("machine {}: first report, type {} zone {}{}", m.name, m.type, m.zone,
+                  m.spot ? " spot" : "");
+    }
+    if (!m.mine) {
+        m.mine = true;
+        m.adopted = false;
+        m.owned_since = ctx_.now.steady;
+    }
+    m.reported = true;
+    m.session = r.session;
+    m.seq = r.seq;
+    m.token = r.token;
+    if (r.notice_s && !m.notice_until) {
+        m.notice_until = ctx_.now.steady + *r.notice_s;
+        ctx_.info("machine {}: taken away in {:.1f} s", m.name, *r.notice_s);
+    }
+    m.tasks.clear();
+    for (const auto& t : r.tasks) {
+        m.tasks[{t.id, t.attempt}] = t;
+    }
+    for (auto it = m.stops.begin(); it != m.stops.end();) {
+        auto t = m.tasks.find(it->first);
+        bool over = t == m.tasks.end() || t->second.state == TaskState::exited;
+        it = over ? m.stops.erase(it) : std::next(it);
+    }
+}
+
+bool Fleet::gang_broken(const Job& job) {
+    if (job.spec.kind != JobKind::gang) {
+        return false;
+    }
+    int placed = job.placed();
+    // Once a task of a gang is done, all are; stragglers then finish one by one.
+    return placed > 0 && job.done() == 0 && placed < job.spec.tasks;
+}
+
+bool Fleet::wants_start(const Machine& m, const Job& job) const {
+    return !job.cancelled && ctx_.jobs.mark(m.name) == nullptr && !m.marking && !m.notice_until &&
+           !gang_broken(job);
+}
+
+void Fleet::conclude(const TaskId& id, const Outcome& outcome) {
+    auto& byTask = outcomes_[id.uid];
+    auto it = byTask.find(id.index);
+    if (it != byTask.end() && it->second.attempt == outcome.attempt) {
+        return;
+    }
+    byTask[id.index] = outcome;
+    ctx_.info("task {} attempt {} on {}: {}", id.text(), outcome.attempt, outcome.machine,
+              outcome.why);
+}
+
+void Fleet::exited(Machine& m, const Job& job, const TaskStatus& s) {
+    Outcome o;
+    o.attempt = s.attempt;
+    o.machine = m.name;
+    o.done = s.why == ExitReason::done;
+    o.why = reason_name(s.why);
+    auto& byTask = outcomes_[s.id.uid];
+    auto it = byTask.find(s.id.index);
+    bool known = it != byTask.end() && it->second.attempt == s.attempt;
+    conclude(s.id, o);
+    if (known) {
+        return;
+    }
+    if (o.done) {
+        m.errors = 0;
+        failures_.erase(s.id.uid);
+    } else if (s.why == ExitReason::error || s.why == ExitReason::unknown_task) {
+        Failures& f = failures_[s.id.uid];
+        f.machines.insert(m.name);
+        f.count++;
+        double pause = constants::job_backoff_s;
+        for (int i = 1; i < f.count && pause < constants::job_backoff_max_s; ++i) {
+            pause *= 2;
+        }
+        // The first machine that fails it may be at fault; the job itself is held back only
+        // once a second machine has failed it too.
+        bool bad_job = static_cast<int>(f.machines.size()) >= constants::job_bad_machines;
+        f.not_before =
+            ctx_.now.steady + (bad_job ? std::min(pause, constants::job_backoff_max_s) : 0.0);
+        if (!bad_job) {
+            m.errors++;
+            if (m.errors >= constants::machine_errors_max) {
+                mark(m, "failing tasks", false);
+            }
+        }
+        m.no_claims_until = ctx_.now.steady + constants::job_backoff_s * m.errors;
+    } else if (s.why == ExitReason::no_room || s.why == ExitReason::busy) {
+        m.no_claims_until = ctx_.now.steady + constants::job_backoff_s;
+    }
+    (void)job;
+}
+
+void Fleet::observe(Machine& m, bool from_report) {
+    auto placed = ctx_.jobs.on_machine(m.name);
+    for (const auto& id : placed) {
+        const Job* job = ctx_.jobs.find(id.uid);
+        const Placement* p = ctx_.jobs.placement(id);
+        if (job == nullptr || p == nullptr) {
+            continue;
+        }
+        Attempt attempt{id, p->attempt};
+        auto t = m.tasks.find(attempt);
+        if (t != m.tasks.end()) {
+            if (t->second.state == TaskState::exited) {
+                exited(m, *job, t->second);
+            } else {
+                m.seen.insert(attempt);
+                if (job->cancelled || gang_broken(*job)) {
+                    stop(m, attempt, 0);
+                }
+            }
+            continue;
+        }
+        // Absent. Only a report that answers after our last response proves it: a direct
+        // command's answer may overtake a start that is still in flight.
+        bool proof = from_report || m.run_sent.count(attempt) == 0;
+        bool lost_gang = job->spec.kind == JobKind::gang && m.seen.count(attempt) != 0;
+        if (proof && (lost_gang || !wants_start(m, *job))) {
+            Outcome o;
+            o.attempt = p->attempt;
+            o.machine = m.name;
+            o.why = lost_gang ? "lost" : "not started";
+            conclude(id, o);
+        }
+    }
+}
+
+bool Fleet::outcomes_pending(const Machine& m) const {
+    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
+        auto it = outcomes_.find(id.uid);
+        if (it != outcomes_.end() && it->second.count(id.index) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Fleet::flush() {
+    if (!ctx_.member) {
+        return;
+    }
+    Txn txn;
+    std::vector<std::string> taken;
+    std::size_t room = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+    for (auto job_it = outcomes_.begin(); job_it != outcomes_.end();) {
+        const Job* job = ctx_.jobs.find(job_it->first);
+        auto& tasks = job_it->second;
+        // Drop what the records say already.
+        for (auto t = tasks.begin(); t != tasks.end();) {
+            const Placement* p = ctx_.jobs.placement({job_it->first, t->first});
+            bool stale = p == nullptr || p->attempt != t->second.attempt;
+            t = stale ? tasks.erase(t) : std::next(t);
+        }
+        if (job == nullptr || tasks.empty()) {
+            job_it = outcomes_.erase(job_it);
+            continue;
+        }
+        std::map<int, Block> changed;
+        bool busy = false;
+        for (const auto& [index, outcome] : tasks) {
+            int k = job->block_of(index);
+            if (ctx_.busy.count(keys::block(job->spec.uid, k)) != 0) {
+                busy = true;
+                continue;
+            }
+            auto it = changed.try_emplace(k, job->block(k)).first;
+            it->second.placed.erase(index);
+            if (outcome.done) {
+                it->second.add_done(index);
+            }
+        }
+        int done = job->done();
+        for (const auto& [k, b] : changed) {
+            done += b.done_count() - job->block(k).done_count();
+        }
+        bool completes = !busy && done == job->spec.tasks && !job->cancelled;
+        std::size_t ops = completes ? 2 + job->blocks.size() : changed.size();
+        if (completes && ops > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            completes = false;  // finish_jobs does it once the blocks are written
+            ops = changed.size();
+        }
+        if (changed.empty() || txn.writes.size() + ops > room) {
+            ++job_it;
+            continue;
+        }
+        if (completes) {
+            txn.conditions.push_back({keys::job(job->spec.uid), job->revision});
+            for (const auto& [k, b] : job->blocks) {
+                auto key = keys::block(job->spec.uid, k);
+                txn.conditions.push_back({key, b.revision});
+                txn.writes.push_back({key, std::nullopt});
+                taken.push_back(key);
+            }
+            txn.writes.push_back({keys::job(job->spec.uid), std::nullopt});
+            txn.writes.push_back(
+                {keys::finished(job->spec.uid), encode(Finished{false, job->spec.tasks})});
+        } else {
+            for (const auto& [k, b] : changed) {
+                auto key = keys::block(job->spec.uid, k);
+                txn.conditions.push_back({key, job->block(k).revision});
+                txn.writes.push_back({key, encode(b)});
+                taken.push_back(key);
+            }
+        }
+        ++job_it;
+    }
+    if (txn.writes.empty()) {
+        return;
+    }
+    txn.conditions.push_back(ctx_.epoch_condition());
+    for (const auto& key : taken) {
+        ctx_.busy.insert(key);
+    }
+    ctx_.txn(txn, [this, taken](const StateReply& r) {
+        auto over = [this, taken] {
+            for (const auto& key : taken) {
+                ctx_.busy.erase(key);
+            }
+            flush();
+        };
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            ctx_.when_at(r.revision, over);
+        } else {
+            // Refused or unknown: the next tick tries again. If the first one is executed late,
+            // its conditions fail or it says the same.
+            for (const auto& key : taken) {
+                ctx_.busy.erase(key);
+            }
+        }
+    });
+}
+
+// Moves jobs that are over to their final record. Blocks that don't fit into the transaction are
+// removed afterwards, by the leading member only.
+void Fleet::finish_jobs() {
+    if (!members_.leading()) {
+        return;
+    }
+    std::size_t ops = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
+        bool orphan = job.revision == 0;
+        bool over = !orphan && (job.complete() || (job.cancelled && job.placed() == 0));
+        if ((!over && !orphan) || finishing_.count(uid) != 0) {
+            continue;
+        }
+        Txn txn;
+        txn.conditions.push_back(ctx_.epoch_condition());
+        if (over) {
+            txn.conditions.push_back({keys::job(uid), job.revision});
+            txn.writes.push_back({keys::job(uid), std::nullopt});
+            txn.writes.push_back(
+                {keys::finished(uid), encode(Finished{!job.complete(), job.spec.tasks})});
+        }
+        bool busy = false;
+        for (const auto& [k, b] : job.blocks) {
+            auto key = keys::block(uid, k);
+            busy = busy || ctx_.busy.count(key) != 0;
+            if (txn.writes.size() < ops) {
+                txn.conditions.push_back({key, b.revision});
+                txn.writes.push_back({key, std::nullopt});
+            }
+        }
+        if (busy) {
+            continue;
+        }
+        finishing_.insert(uid);
+        ctx_.txn(txn, [this, uid = uid](const StateReply& r) {
+            if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+                ctx_.when_at(r.revision, [this, uid] { finishing_.erase(uid); });
+            } else {
+                finishing_.erase(uid);
+            }
+        });
+    }
+}
+
+// --- answers ------------------------------------------------------------------------------
+
+void Fleet::answer(Machine& m) {
+    if (!m.request) {
+        return;
+    }
+    WorkerReply reply;
+    reply.request = *m.request;
+    m.request.reset();
+    if (!members_.may_answer_workers() || !m.mine) {
+        reply.status = m.mine ? 503 : 421;
+        ctx_.out.emplace_back(reply);
+        return;
+    }
+    reply.status = 200;
+    reply.token = ctx_.token;
+    if (m.adopted) {
+        std::set<TaskId> live;
+        for (const auto& [attempt, status] : m.tasks) {
+            const Placement* p = ctx_.jobs.placement(attempt.first);
+            bool ours = p != nullptr && p->machine == m.name && p->attempt == attempt.second;
+            if (status.state == TaskState::exited) {
+                if (!ours) {
+                    reply.commands.push_back(
+                        {Command::Kind::forget, attempt.first, attempt.second, 0});
+                    m.run_sent.erase(attempt);
+                    m.seen.erase(attempt);
+                }
+                continue;
+            }
+            live.insert(attempt.first);
+            auto s = m.stops.find(attempt);
+            if (!ours) {
+                reply.commands.push_back({Command::Kind::stop, attempt.first, attempt.second, 0});
+            } else if (s != m.stops.end()) {
+                reply.commands.push_back(
+                    {Command::Kind::stop, attempt.first, attempt.second, s->second.grace_s});
+            }
+        }
+        for (const auto& id : ctx_.jobs.on_machine(m.name)) {
+            const Job* job = ctx_.jobs.find(id.uid);
+            const Placement* p = ctx_.jobs.placement(id);
+            if (job == nullptr || p == nullptr || !wants_start(m, *job)) {
+                continue;
+            }
+            Attempt attempt{id, p->attempt};
+            auto concluded = outcomes_.find(id.uid);
+            bool ending =
+                concluded != outcomes_.end() && concluded->second.count(id.index) != 0;
+            if (m.tasks.count(attempt) != 0 || live.count(id) != 0 || ending) {
+                continue;
+            }
+            if (m.run_sent.insert(attempt).second) {
+                ctx_.info("start {} attempt {} on {}", id.text(), p->attempt, m.name);
+            }
+            reply.commands.push_back({Command::Kind::start, id, p->attempt, 0});
+        }
+    }
+    ctx_.out.emplace_back(std::move(reply));
+}
+
+void Fleet::settle_answers() {
+    for (auto& [name, m] : machines_) {
+        if (!m.request) {
+            continue;
+        }
+        bool late = ctx_.now.steady >= m.answer_by;
+        if (!late && (m.claims > 0 || outcomes_pending(m))) {
+            continue;
+        }
+        // Something to say: say it now.
+        bool start_due = false;
+        for (const auto& id : ctx_.jobs.on_machine(name)) {
+            const Job* job = ctx_.jobs.find(id.uid);
+            const Placement* p = ctx_.jobs.placement(id);
+            if (job != nullptr && p != nullptr && wants_start(m, *job) &&
+                m.tasks.count({id, p->attempt}) == 0) {
+                start_due = true;
+            }
+        }
+        bool empty = m.tasks.empty() && !start_due;
+        if (empty && usable(m) && !late) {
+            // Without tasks the worker has nothing to report: its answer is kept open for a
+            // while, so that a job that comes meanwhile starts without waiting for a report.
+            m.answer_by = std::max(m.answer_by, m.last_report + constants::idle_hold_s);
+            continue;
+        }
+        answer(m);
+    }
+}
+
+// --- stops --------------------------------------------------------------------------------
+
+void Fleet::send_stop(Machine& m, const Attempt& task, Machine::Stop& s) {
+    s.last_sent = ctx_.now.steady;
+    OrderCall call;
+    call.machine = m.name;
+    call.address = m.address;
+    call.token = ctx_.token;
+    call.session = m.session;
+    call.commands.push_back({Command::Kind::stop, task.first, task.second, s.grace_s});
+    ctx_.order(call, [](const OrderReply&) {
+        // The worker reports the change by itself within half a second.
+    });
+}
+
+void Fleet::stop(Machine& m, const Attempt& task, double grace_s) {
+    auto [it, first] = m.stops.try_emplace(task);
+    if (!first && it->second.grace_s <= grace_s) {
+        return;
+    }
+    if (first) {
+        ctx_.info("stop {} attempt {} on {}, grace {:.1f} s", task.first.text(), task.second,
+                  m.name, grace_s);
+        it->second.first = ctx_.now.steady;
+    }
+    it->second.grace_s = grace_s;
+    if (m.adopted && m.reported) {
+        send_stop(m, task, it->second);
+    }
+}
+
+void Fleet::stop_anywhere(const std::string& machine, const Attempt& task, double grace_s) {
+    Machine* m = find(machine);
+    if (m == nullptr) {
+        return;
+    }
+    if (m->mine) {
+        stop(*m, task, grace_s);
+        return;
+    }
+    if (!m->address.empty()) {
+        Machine::Stop once;
+        once.grace_s = grace_s;
+        m->session = std::max<std::uint64_t>(m->session, 1);
+        send_stop(*m, task, once);
+    }
+}
+
+// --- ownership ----------------------------------------------------------------------------
+
+void Fleet::epoch_changed(const std::optional<Epoch>& before) {
+    const auto& epoch = ctx_.jobs.epoch();
+    // Only from one epoch to the next is it certain that nobody else owned a machine between.
+    bool next = before && epoch && epoch->number == before->number + 1 && ctx_.member &&
+                before->has(ctx_.me.id);
+    int taken = 0;
+    for (auto& [name, m] : machines_) {
+        bool mine = members_.mine(name, m.zone);
+        if (mine && m.mine && next) {
+            continue;
+        }
+        if (m.request && !mine) {
+            m.mine = false;
+            answer(m);
+        }
+        m.mine = mine;
+        m.adopted = false;
+        m.run_sent.clear();
+        m.seen.clear();
+        m.stops.clear();
+        if (mine) {
+            m.owned_since = ctx_.now.steady;
+            m.probe_failures = 0;
+            ++taken;
+            raise_token(m, 2);
+        }
+    }
+    if (taken > 0) {
+        ctx_.info("epoch {}: took over {} machines", ctx_.token, taken);
+    }
+}
+
+void Fleet::raise_token(Machine& m, int tries) {
+    if (m.address.empty() || tries == 0 || ctx_.jobs.mark(m.name) != nullptr) {
+        return;
+    }
+    OrderCall call;
+    call.machine = m.name;
+    call.address = m.address;
+    call.token = ctx_.token;
+    call.session = std::max<std::uint64_t>(m.session, 1);
+    ctx_.order(call, [this, name = m.name, token = ctx_.token, tries](const OrderReply& reply) {
+        Machine* m = find(name);
+        if (m == nullptr || !reply.report || !m->mine || token != ctx_.token || m->adopted) {
+            return;
+        }
+        const Report& r = *reply.report;
+        if (m->reported && std::tie(r.session, r.seq) <= std::tie(m->session, m->seq)) {
+            return;
+        }
+        take_in(*m, r);
+        if (r.token == ctx_.token) {
+            m->adopted = true;
+            m->last_report = ctx_.now.steady;
+            ctx_.info("machine {}: adopted in session {} with {} tasks", name, m->session,
+                      m->tasks.size());
+            observe(*m, false);
+            flush();
+        } else {
+            raise_token(*m, tries - 1);  // its session was another than we thought
+        }
+    });
+}
+
+void Fleet::listed(const std::vector<ListedMachine>& list) {
+    for (const auto& l : list) {
+        Machine& m = machines_[l.name];
+        bool known = !m.name.empty();
+        m.name = l.name;
+        m.address = l.address;
+        m.type = l.type;
+        m.zone = l.zone;
+        m.spot = l.spot;
+        m.listed = true;
+        m.listed_at = ctx_.now.steady;
+        if (m.listed_state == ListedState::starting || l.state == ListedState::failed) {
+            m.listed_state = l.state;
+        }
+        if (!known) {
+            m.born = ctx_.now.steady - l.age_s;
+        }
+        if (l.state == ListedState::running && m.running_since < 0) {
+            m.running_since = ctx_.now.steady;
+        }
+        if (!m.mine && members_.mine(m.name, m.zone)) {
+            m.mine = true;
+            m.adopted = false;
+            m.owned_since = ctx_.now.steady;
+            if (l.state == ListedState::running) {
+                raise_token(m, 2);
+            }
+        }
+    }
+}
+
+// --- upkeep -------------------------------------------------------------------------------
+
+void Fleet::mark(Machine& m, const std::string& why, bool fence) {
+    const Mark* old = ctx_.jobs.mark(m.name);
+    if (m.marking || !ctx_.member || (old != nullptr && (old->fence || !fence))) {
+        return;
+    }
+    m.marking = true;
+    Mark mark;
+    mark.why = why;
+    mark.fence = fence;
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition(),
+                      {keys::mark(m.name), old == nullptr ? 0 : old->revision}};
+    txn.writes = {{keys::mark(m.name), encode(mark)}};
+    ctx_.info("machine {}: to be returned ({})", m.name, why);
+    ctx_.txn(txn, [this, name = m.name](const StateReply& r) {
+        auto over = [this, name] {
+            if (Machine* m = find(name)) {
+                m->marking = false;
+            }
+        };
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            ctx_.when_at(r.revision, over);
+        } else {
+            over();
+        }
+    });
+}
+
+void Fleet::probe(Machine& m) {
+    if (m.probing || m.address.empty()) {
+        return;
+    }
+    m.probing = true;
+    OrderCall call;
+    call.machine = m.name;
+    call.address = m.address;
+    ctx_.order(call, [this, name = m.name](const OrderReply& reply) {
+        Machine* m = find(name);
+        if (m == nullptr) {
+            return;
+        }
+        m->probing = false;
+        if (reply.answered) {
+            // Alive, but it reports elsewhere or its reports don't get through: the raised
+            // token makes it turn away from whoever answers it wrongly.
+            m->probe_failures = 0;
+            if (reply.report) {
+                m->session = std::max(m->session, reply.report->session);
+            }
+            if (m->mine) {
+                raise_token(*m, 1);
+            }
+        } else {
+            m->probe_failures++;
+        }
+    });
+}
+
+double Fleet::job_pause_until(const std::string& uid) const {
+    auto it = failures_.find(uid);
+    return it == failures_.end() ? -1e9 : it->second.not_before;
+}
+
+void Fleet::records_changed() {
+    for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
+        const Job* job = ctx_.jobs.find(id.uid);
+        if (job == nullptr) {
+            continue;
+        }
+        Machine& m = machines_[p.machine];
+        if (m.name.empty()) {
+            m.name = p.machine;
+            m.zone = p.zone;
+            m.born = ctx_.now.steady;
+            m.mine = members_.mine(m.name, m.zone);
+            m.owned_since = ctx_.now.steady;
+        }
+        touch_image(m, job->spec.image, job->spec.image_gb);
+    }
+    for (auto& [name, m] : machines_) {
+        const auto& placed = ctx_.jobs.on_machine(name);
+        if (!placed.empty()) {
+            m.empty_since = -1;
+        } else if (m.empty_since < 0) {
+            m.empty_since = ctx_.now.steady;
+        }
+        if (!m.mine || !m.adopted) {
+            continue;
+        }
+        for (const auto& id : placed) {
+            const Job* job = ctx_.jobs.find(id.uid);
+            const Placement* p = ctx_.jobs.placement(id);
+            if (job == nullptr || p == nullptr) {
+                continue;
+            }
+            Attempt attempt{id, p->attempt};
+            auto t = m.tasks.find(attempt);
+            bool exited = t != m.tasks.end() && t->second.state == TaskState::exited;
+            // A start that has gone out but isn't reported yet must be stopped as well.
+            bool there = (t != m.tasks.end() && !exited) || m.run_sent.count(attempt) != 0;
+            if (there && !exited && (job->cancelled || gang_broken(*job))) {
+                stop(m, attempt, 0);
+            }
+        }
+    }
+    if (members_.leading()) {
+        conclude_gone();
+    }
+    flush();
+}
+
+// The cloud's answer to a release is the proof that everything on the machine has ended.
+void Fleet::conclude_gone() {
+    for (const auto& [key, mark] : ctx_.jobs.marks()) {
+        if (!mark.gone) {
+            continue;
+        }
+        std::string name = key.substr(keys::mark("").size());
+        for (const auto& id : ctx_.jobs.on_machine(name)) {
+            if (const Placement* p = ctx_.jobs.placement(id)) {
+                conclude(id, {p->attempt, false, "machine gone", name});
+            }
+        }
+    }
+}
+
+void Fleet::tick() {
+    double t = ctx_.now.steady;
+    int mine = 0;
+    int silent = 0;
+    for (auto& [name, m] : machines_) {
+        if (m.mine && m.reported && m.adopted) {
+            ++mine;
+            silent += t - std::max(m.last_report, m.owned_since) > ctx_.tunables.silence_s ? 1 : 0;
+        }
+    }
+    // When most machines fall silent at once, this process's own network is the likelier cause.
+    bool suspect_self =
+        silent > constants::silent_few && silent > mine * constants::silent_share;
+    for (auto it = machines_.begin(); it != machines_.end();) {
+        Machine& m = it->second;
+        const Mark* mk = ctx_.jobs.mark(m.name);
+        double heard = std::max(m.last_report, m.owned_since);
+        bool forgettable = ctx_.jobs.on_machine(m.name).empty() && mk == nullptr && !m.request &&
+                           t - heard > constants::gone_mark_s &&
+                           t - m.listed_at > constants::gone_mark_s;
+        if (forgettable) {
+            it = machines_.erase(it);
+            continue;
+        }
+        ++it;
+        if (!ctx_.member || !m.mine || mk != nullptr) {
+            continue;
+        }
+        for (auto& [task, s] : m.stops) {
+            if (m.adopted && t - s.last_sent >= constants::stop_repeat_s) {
+                if (s.grace_s > 0 && t - s.first > s.grace_s + ctx_.settings.gang_peer_s) {
+                    s.grace_s = 0;  // it should have saved by now
+                }
+                send_stop(m, task, s);
+            }
+        }
+        bool placed = !ctx_.jobs.on_machine(m.name).empty();
+        if (m.listed_state == ListedState::failed) {
+            mark(m, "failed", true);
+        } else if (m.reported || placed) {
+            double quiet = t - heard;
+            double limit = ctx_.tunables.silence_s;
+            if (suspect_self) {
+                limit = ctx_.settings.lease_s + ctx_.tunables.silence_s;
+            }
+            if (quiet > limit && m.probe_failures > 0) {
+                mark(m, "silent", true);
+            } else if (quiet > limit - constants::order_timeout_s) {
+                probe(m);
+            }
+        } else if (m.running_since >= 0 &&
+                   t - std::max(m.running_since, m.owned_since) > constants::unreported_s) {
+            mark(m, "never reported", true);
+        }
+        if (m.notice_until && !placed && m.reported) {
+            mark(m, "taken away soon", false);
+        }
+    }
+    flush();
+    finish_jobs();
+    for (auto& [name, m] : machines_) {
+        if (m.request && on_room && usable(m) && m.claims == 0) {
+            on_room(m);
+        }
+    }
+    settle_answers();
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/fleet.hpp
@@ -0,0 +1,147 @@
+// Fleet: machines as their workers report them. Sessions, adoption, the answers to reports, the
+// proofs that a task's place is empty, and what becomes of silent or faulty machines.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/context.hpp"
+#include "core/membership.hpp"
+
+namespace cranemoor::core {
+
+using Attempt = std::pair<TaskId, std::uint64_t>;
+
+struct Machine {
+    std::string name;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+
+    // as reported
+    bool reported = false;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    Token token = 0;
+    double last_report = -1e9;
+    std::optional<double> notice_until;
+    std::map<Attempt, TaskStatus> tasks;
+
+    // as owned
+    bool mine = false;
+    bool adopted = false;
+    double owned_since = 0;
+    std::set<Attempt> run_sent;  // in a response of ours since adoption
+    std::set<Attempt> seen;      // reported alive since adoption
+    struct Stop {
+        double grace_s = 0;
+        double first = 0;
+        double last_sent = -1e9;
+    };
+    std::map<Attempt, Stop> stops;
+    int errors = 0;
+    double no_claims_until = -1e9;
+    bool probing = false;
+    int probe_failures = 0;
+    bool marking = false;
+
+    // the report that waits for its answer
+    std::optional<std::uint64_t> request;
+    double answer_by = 0;
+    int claims = 0;  // claims under way for it
+
+    // as listed by the cloud
+    bool listed = false;
+    ListedState listed_state = ListedState::starting;
+    double listed_at = -1e9;
+    double born = 0;           // steady time of its rental, as far as known
+    double running_since = -1;  // first listed as running
+    double empty_since = -1;    // no placements since, -1: has some
+
+    // images it is thought to have cached, most recently used first
+    std::list<std::pair<std::string, double>> images;
+};
+
+class Fleet {
+  public:
+    Fleet(Context& ctx, Membership& members) : ctx_(ctx), members_(members) {}
+
+    // A report; relayed ones came over a peer and are never passed on again.
+    void report(std::uint64_t request, const Report& report, bool relayed);
+    void epoch_changed(const std::optional<Epoch>& before);
+    void records_changed();
+    void tick();
+    void listed(const std::vector<ListedMachine>& machines);
+    void set_types(const std::vector<MachineType>& types);
+
+    // Asked by the scheduler when a machine of ours has room and an open answer.
+    std::function<void(Machine&)> on_room;
+
+    std::map<std::string, Machine>& machines() { return machines_; }
+    Machine* find(const std::string& name);
+    const MachineType* type(const std::string& name) const;
+    const std::vector<MachineType>& types() const { return types_; }
+    bool has_image(const Machine& m, const std::string& image) const;
+    bool image_anywhere(const std::string& image) const;
+    // Room left by claimed tasks and by tasks still reported there.
+    Resources room(const Machine& m) const;
+    // Whether new tasks may be claimed on it, as far as this controller knows.
+    bool usable(const Machine& m) const;
+    // Answers the open report now, with all commands due.
+    void answer(Machine& m);
+    void settle_answers();
+    // Asks a task to stop, directly and with every response until it is gone.
+    void stop(Machine& m, const Attempt& task, double grace_s);
+    void stop_anywhere(const std::string& machine, const Attempt& task, double grace_s);
+    void mark(Machine& m, const std::string& why, bool fence);
+    // A job whose tasks fail is left alone until then.
+    double job_pause_until(const std::string& uid) const;
+    // Writes what was observed; also called when earlier writes are done.
+    void flush();
+    static bool gang_broken(const Job& job);
+    void finish_jobs();
+    void conclude_gone();
+
+  private:
+    struct Outcome {
+        std::uint64_t attempt = 0;
+        bool done = false;
+        std::string why;
+        std::string machine;
+    };
+    struct Failures {
+        std::set<std::string> machines;
+        int count = 0;
+        double not_before = -1e9;
+    };
+
+    void take_in(Machine& m, const Report& r);
+    void observe(Machine& m, bool from_report);
+    void conclude(const TaskId& id, const Outcome& outcome);
+    void exited(Machine& m, const Job& job, const TaskStatus& s);
+    bool wants_start(const Machine& m, const Job& job) const;
+    void raise_token(Machine& m, int tries);
+    void probe(Machine& m);
+    void redirect(std::uint64_t request, const Report& r, const Member* owner, bool relayed);
+    void touch_image(Machine& m, const std::string& image, double gb);
+    void refuse(std::uint64_t request, int status, const std::string& home = "");
+    void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
+    bool outcomes_pending(const Machine& m) const;
+
+    Context& ctx_;
+    Membership& members_;
+    std::map<std::string, Machine> machines_;
+    std::vector<MachineType> types_;
+    std::map<std::string, std::map<int, Outcome>> outcomes_;  // by job, by task
+    std::map<std::string, Failures> failures_;
+    std::map<std::string, double> redirected_;
+    std::set<std::string> finishing_;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/jobs.hpp
@@ -0,0 +1,92 @@
+// Jobs: this controller's copy of the durable records, brought up to date by the watch.
+// It holds every key below c/ as of one revision; nothing else in the core keeps durable facts.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/actions.hpp"
+#include "core/records.hpp"
+
+namespace cranemoor::core {
+
+struct Job {
+    JobSpec spec;
+    Revision revision = 0;  // 0: blocks arrived before or outlived their job
+    double submitted_wall = 0;
+    int block_size = 0;
+    bool cancelled = false;
+    double cancelled_wall = 0;
+    std::map<int, Block> blocks;
+
+    int block_count() const { return (spec.tasks + block_size - 1) / block_size; }
+    int block_of(int task) const { return task / block_size; }
+    int block_first(int block) const { return block * block_size; }
+    int block_last(int block) const {
+        return std::min(spec.tasks, (block + 1) * block_size) - 1;
+    }
+    const Block& block(int index) const;
+    int done() const;
+    int placed() const;
+    bool complete() const { return done() == spec.tasks; }
+    // all tasks with a place, as (task, placement)
+    std::vector<std::pair<int, Placement>> placements() const;
+    std::optional<int> first_open(int block) const;  // a task neither placed nor done
+    int open() const { return spec.tasks - done() - placed(); }
+};
+
+class Jobs {
+  public:
+    // Listing replaces everything; events follow in order of revision.
+    void begin_load();
+    void load(const std::vector<Event>& items);
+    void end_load(Revision revision);
+    void apply(const Event& event);
+    void advance(Revision revision) { revision_ = std::max(revision_, revision); }
+
+    bool loaded() const { return loaded_; }
+    Revision revision() const { return revision_; }
+    Revision revision_of(const std::string& key) const;
+
+    const std::optional<Epoch>& epoch() const { return epoch_; }
+    const std::map<std::string, Member>& member_keys() const { return member_keys_; }
+    const std::map<std::string, Job>& jobs() const { return jobs_; }
+    const Job* find(const std::string& uid) const;
+    const std::map<std::string, Mark>& marks() const { return marks_; }
+    const Mark* mark(const std::string& machine) const;
+    const std::map<std::string, Slices>& slices() const { return slices_; }  // by key
+    const std::set<TaskId>& on_machine(const std::string& machine) const;
+    const std::map<std::string, std::set<TaskId>>& machines_used() const { return by_machine_; }
+    const Placement* placement(const TaskId& id) const;
+    // what claimed tasks of a team take, all or those charged to one member
+    const Resources& used(const std::string& team) const;
+    Resources used(const std::string& team, std::uint64_t charge) const;
+    // what claimed tasks take on a machine
+    Resources used_on(const std::string& machine) const;
+    // placements that appeared since the last call, for the image estimate
+    std::vector<std::pair<TaskId, Placement>> take_new_placements();
+
+  private:
+    void put(const std::string& key, const Json& value, Revision revision);
+    void drop(const std::string& key);
+    void index(const Job& job, const Block& block, int sign);
+
+    bool loaded_ = false;
+    Revision revision_ = 0;
+    std::unordered_map<std::string, Revision> revisions_;
+    std::optional<Epoch> epoch_;
+    std::map<std::string, Member> member_keys_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::string, Mark> marks_;
+    std::map<std::string, Slices> slices_;
+    std::map<std::string, std::set<TaskId>> by_machine_;
+    std::map<std::string, Resources> used_;
+    std::map<std::pair<std::string, std::uint64_t>, Resources> used_by_;
+    std::vector<std::pair<TaskId, Placement>> fresh_;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,347 @@
+#include "core/membership.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+void Membership::start() {
+    last_contact_ = ctx_.now.steady;
+    load("", 0);
+    grant();
+}
+
+void Membership::load(const std::string& after, Revision base) {
+    if (after.empty()) {
+        ctx_.jobs.begin_load();
+    }
+    loading_ = true;
+    StateCall call;
+    call.kind = StateCall::Kind::list;
+    call.key = keys::live;
+    call.after = after;
+    ctx_.state(call, [this, base](const StateReply& r) {
+        if (r.status != StateReply::Status::ok) {
+            loading_ = false;
+            retry_at_ = ctx_.now.steady + constants::retry_state_s;
+            return;
+        }
+        // The first page's revision is where the watch begins; later pages may be newer, and
+        // the watch then repeats what they already hold.
+        Revision first = base == 0 ? r.revision : base;
+        ctx_.jobs.load(r.events);
+        if (r.more && !r.events.empty()) {
+            load(r.events.back().key, first);
+            return;
+        }
+        loading_ = false;
+        ctx_.jobs.end_load(first);
+        settle();
+        watch();
+    });
+}
+
+void Membership::watch() {
+    watching_ = true;
+    StateCall call;
+    call.kind = StateCall::Kind::watch;
+    call.key = keys::live;
+    call.since = ctx_.jobs.revision();
+    ctx_.state(call, [this](const StateReply& r) {
+        watching_ = false;
+        if (r.status == StateReply::Status::compacted) {
+            ctx_.info("watch: fell behind, reading everything again");
+            load("", 0);
+            return;
+        }
+        if (r.status != StateReply::Status::ok) {
+            retry_at_ = ctx_.now.steady + constants::retry_state_s;
+            return;
+        }
+        for (const auto& event : r.events) {
+            ctx_.jobs.apply(event);
+        }
+        ctx_.jobs.advance(r.revision);
+        settle();
+        watch();
+    });
+}
+
+void Membership::settle() {
+    Revision revision = ctx_.jobs.revision_of(keys::epoch);
+    bool changed = revision != epoch_revision_;
+    auto before = epoch_before_;
+    if (changed) {
+        epoch_revision_ = revision;
+        const auto& epoch = ctx_.jobs.epoch();
+        bool in = false;
+        if (epoch) {
+            const Member* m = epoch->find(ctx_.settings.name);
+            in = m != nullptr && m->boot == ctx_.boot;
+            ctx_.token = epoch->number;
+            if (in) {
+                ctx_.me = *m;
+            }
+            std::string names;
+            for (const auto& each : epoch->members) {
+                names += (names.empty() ? "" : ",") + each.name + "@" + std::to_string(each.id);
+            }
+            ctx_.info("epoch {}: members {}", epoch->number, names);
+        }
+        if (ctx_.member && !in) {
+            ctx_.info("epoch {}: this process is no longer a member", ctx_.token);
+            leave();
+        }
+        ctx_.member = in;
+        epoch_before_ = epoch;
+    }
+    if (on_change) {
+        on_change(changed, before);
+    }
+    ctx_.run_waiting();
+    remove_dead();
+    join();
+}
+
+void Membership::leave() {
+    // The lease may live on; a new one tells the two memberships apart.
+    ctx_.member = false;
+    lease_ = 0;
+    grant();
+}
+
+void Membership::grant() {
+    if (granting_ || lease_ != 0) {
+        return;
+    }
+    granting_ = true;
+    StateCall call;
+    call.kind = StateCall::Kind::grant;
+    ctx_.state(call, [this](const StateReply& r) {
+        granting_ = false;
+        if (r.status == StateReply::Status::ok) {
+            lease_ = r.lease;
+            next_renew_ = ctx_.now.steady + constants::renew_every_s;
+            join();
+        }
+    });
+}
+
+void Membership::renew() {
+    renewing_ = true;
+    StateCall call;
+    call.kind = StateCall::Kind::renew;
+    call.lease = lease_;
+    ctx_.state(call, [this, lease = lease_](const StateReply& r) {
+        renewing_ = false;
+        if (r.status == StateReply::Status::not_found && lease == lease_) {
+            ctx_.info("lease {} ended", lease);
+            lease_ = 0;
+            grant();
+        }
+    });
+}
+
+void Membership::join() {
+    if (joining_ || lease_ == 0 || !ctx_.jobs.loaded()) {
+        return;
+    }
+    const auto& epoch = ctx_.jobs.epoch();
+    auto key = keys::member(ctx_.settings.name);
+    auto mine = ctx_.jobs.member_keys().find(key);
+    bool key_ok = mine != ctx_.jobs.member_keys().end() && mine->second.boot == ctx_.boot;
+    if (ctx_.member && key_ok) {
+        return;
+    }
+    Epoch next;
+    next.number = (epoch ? epoch->number : 0) + 1;
+    if (epoch) {
+        for (const auto& m : epoch->members) {
+            auto it = ctx_.jobs.member_keys().find(keys::member(m.name));
+            if (m.name != ctx_.settings.name && it != ctx_.jobs.member_keys().end() &&
+                it->second.id == m.id) {
+                next.members.push_back(m);
+            }
+        }
+    }
+    Member me{ctx_.settings.name, ctx_.settings.zone, ctx_.boot, next.number};
+    next.members.push_back(me);
+    joining_ = true;
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition()};
+    txn.writes = {{keys::epoch, encode(next)}, {key, encode_member(me), lease_}};
+    ctx_.txn(txn, [this](const StateReply& r) {
+        auto again = [this] {
+            joining_ = false;
+            join();
+        };
+        switch (r.status) {
+            case StateReply::Status::ok:
+            case StateReply::Status::conflict:
+                ctx_.when_at(r.revision, again);
+                break;
+            case StateReply::Status::bad:
+                // The lease ended meanwhile.
+                joining_ = false;
+                lease_ = 0;
+                grant();
+                break;
+            default:
+                // It may yet be executed: then the epoch's revision moves on and the next
+                // attempt, conditional on the old one, fails harmlessly.
+                joining_ = false;
+                retry_at_ = ctx_.now.steady + constants::retry_state_s;
+        }
+    });
+}
+
+void Membership::remove_dead() {
+    const auto& epoch = ctx_.jobs.epoch();
+    if (!epoch || !ctx_.member || removing_) {
+        return;
+    }
+    Epoch next;
+    next.number = epoch->number + 1;
+    int rank = 0;
+    bool passed_me = false;
+    for (const auto& m : epoch->members) {
+        auto it = ctx_.jobs.member_keys().find(keys::member(m.name));
+        if (it != ctx_.jobs.member_keys().end() && it->second.id == m.id) {
+            next.members.push_back(m);
+            passed_me = passed_me || m.id == ctx_.me.id;
+            rank += passed_me ? 0 : 1;
+        }
+    }
+    if (next.members.size() == epoch->members.size() || !next.has(ctx_.me.id)) {
+        dead_since_ = -1;
+        return;
+    }
+    if (dead_since_ < 0) {
+        dead_since_ = ctx_.now.steady;
+    }
+    // The oldest live member acts at once, the others only if it doesn't.
+    if (ctx_.now.steady < dead_since_ + rank * constants::removal_stagger_s) {
+        return;
+    }
+    removing_ = true;
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition()};
+    txn.writes = {{keys::epoch, encode(next)}};
+    ctx_.txn(txn, [this](const StateReply& r) {
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            ctx_.when_at(r.revision, [this] { removing_ = false; });
+        } else {
+            removing_ = false;
+        }
+    });
+}
+
+void Membership::tick() {
+    double t = ctx_.now.steady;
+    if (t >= retry_at_) {
+        if (!ctx_.jobs.loaded()) {
+            if (!loading_) {
+                load("", 0);
+            }
+        } else if (!watching_ && !loading_) {
+            watch();
+        }
+        if (lease_ == 0) {
+            grant();
+        }
+        join();
+        remove_dead();
+    }
+    if (lease_ != 0 && !renewing_ && t >= next_renew_) {
+        next_renew_ = t + constants::renew_every_s;
+        renew();
+    }
+    if (t >= next_beat_) {
+        next_beat_ = t + constants::peer_beat_s;
+        for (const auto& p : ctx_.settings.peers) {
+            PeerCall call;
+            call.peer = p.name;
+            call.state_contact = in_contact();
+            ctx_.peer(call, [](bool, const std::optional<WorkerReply>&) {});
+        }
+    }
+}
+
+void Membership::peer_word(const std::string& peer, bool contact) {
+    words_[peer] = {ctx_.now.steady, contact};
+}
+
+bool Membership::peers_have_contact() const {
+    return std::any_of(words_.begin(), words_.end(), [&](const auto& w) {
+        return w.second.contact && ctx_.now.steady - w.second.at < constants::peer_word_s;
+    });
+}
+
+bool Membership::peers_lack_contact() const {
+    // Only a word from every peer tells an outage from a refusal that this process alone meets.
+    if (ctx_.settings.peers.empty()) {
+        return true;
+    }
+    return std::all_of(
+        ctx_.settings.peers.begin(), ctx_.settings.peers.end(), [&](const Peer& p) {
+            auto w = words_.find(p.name);
+            return w != words_.end() && !w->second.contact &&
+                   ctx_.now.steady - w->second.at < constants::peer_word_s;
+        });
+}
+
+bool Membership::may_answer_workers() const {
+    if (!ctx_.member) {
+        return false;
+    }
+    if (in_contact()) {
+        return true;
+    }
+    // Guards against a cancelled task that lives on behind a controller that is refused by the
+    // state service alone: its workers must move, or their leases must end, before cancel_s.
+    double lease_time = constants::member_lease_ms / 1000.0;
+    if (silent_s() > lease_time && peers_have_contact()) {
+        return false;
+    }
+    double limit = ctx_.settings.cancel_s - ctx_.settings.lease_s - constants::cancel_margin_s;
+    return silent_s() < limit || peers_lack_contact();
+}
+
+bool Membership::healthy() const {
+    if (!ctx_.member) {
+        return false;
+    }
+    return in_contact() || peers_lack_contact();
+}
+
+const Member* Membership::owner(const std::string& machine, const std::string& zone) const {
+    const auto& epoch = ctx_.jobs.epoch();
+    if (!epoch) {
+        return nullptr;
+    }
+    // Members in the machine's own zone go first: a cut between zones then separates no worker
+    // from its controller.
+    const Member* best = nullptr;
+    std::tuple<bool, std::uint64_t, std::uint64_t> best_rank;
+    for (const auto& m : epoch->members) {
+        std::tuple<bool, std::uint64_t, std::uint64_t> rank{m.zone == zone,
+                                                            stable_hash(machine + "|" + m.name), m.id};
+        if (best == nullptr || rank > best_rank) {
+            best = &m;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+bool Membership::mine(const std::string& machine, const std::string& zone) const {
+    const Member* m = owner(machine, zone);
+    return ctx_.member && m != nullptr && m->id == ctx_.me.id;
+}
+
+bool Membership::leading() const {
+    const auto& epoch = ctx_.jobs.epoch();
+    return ctx_.member && epoch && !epoch->members.empty() &&
+           epoch->members.front().id == ctx_.me.id;
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/provisioner.cpp
@@ -0,0 +1,425 @@
+#include "core/provisioner.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranemoor::core {
+
+void Provisioner::epoch_changed() {
+    // Requests carry the epoch's number in their names: another epoch makes names of its own.
+    // What an earlier request may still bring shows in the list of machines.
+    rentals_.clear();
+    rentals_made_ = 0;
+    next_list_ = 0;
+}
+
+void Provisioner::tick() {
+    look_at_types();
+    if (!ctx_.member) {
+        return;
+    }
+    double t = ctx_.now.steady;
+    if (!list_open_ && t >= next_list_) {
+        next_list_ = t + (members_.leading() ? constants::list_every_s
+                                             : constants::list_every_others_s);
+        list("");
+    }
+    if (!members_.leading() || !members_.in_contact() || fleet_.types().empty()) {
+        return;
+    }
+    release();
+    retire_marks();
+    for (auto& r : rentals_) {
+        if (!r.open && t >= r.next_try) {
+            send(r);
+        }
+    }
+    if (t >= next_plan_) {
+        next_plan_ = t + constants::provision_every_s;
+        rent();
+        return_idle();
+    }
+}
+
+void Provisioner::look_at_types() {
+    if (types_open_ || ctx_.now.steady < next_types_) {
+        return;
+    }
+    types_open_ = true;
+    CloudCall call;
+    call.kind = CloudCall::Kind::types;
+    ctx_.cloud(call, [this](const CloudReply& r) {
+        types_open_ = false;
+        if (r.status == CloudReply::Status::ok) {
+            fleet_.set_types(r.types);
+            next_types_ = ctx_.now.steady + constants::types_every_s;
+        } else {
+            next_types_ = ctx_.now.steady + 1;
+        }
+    });
+}
+
+void Provisioner::list(const std::string& after) {
+    list_open_ = true;
+    CloudCall call;
+    call.kind = CloudCall::Kind::list;
+    call.after = after;
+    ctx_.cloud(call, [this](const CloudReply& r) {
+        list_open_ = false;
+        if (r.status != CloudReply::Status::ok) {
+            return;
+        }
+        fleet_.listed(r.listed);
+        if (r.more && !r.listed.empty()) {
+            list(r.listed.back().name);
+        }
+    });
+}
+
+// --- returning ----------------------------------------------------------------------------
+
+void Provisioner::release() {
+    if (releasing_ || ctx_.now.steady < next_release_) {
+        return;
+    }
+    CloudCall call;
+    call.kind = CloudCall::Kind::release;
+    for (const auto& [key, mark] : ctx_.jobs.marks()) {
+        std::string name = key.substr(keys::mark("").size());
+        if (!mark.gone && (mark.fence || ctx_.jobs.on_machine(name).empty()) &&
+            call.machines.size() < constants::release_max) {
+            call.machines.push_back(name);
+        }
+    }
+    if (call.machines.empty()) {
+        return;
+    }
+    releasing_ = true;
+    ctx_.info("release {}", fmt::join(call.machines, ","));
+    auto names = call.machines;
+    ctx_.cloud(call, [this, names](const CloudReply& r) {
+        releasing_ = false;
+        if (r.status != CloudReply::Status::ok) {
+            next_release_ = ctx_.now.steady + 1;
+            ctx_.debug("release not confirmed, repeating");
+            return;
+        }
+        // Confirmed: written down, so that every member may take the places as empty.
+        std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+        for (std::size_t i = 0; i < names.size(); i += most) {
+            Txn txn;
+            txn.conditions.push_back(ctx_.epoch_condition());
+            for (std::size_t k = i; k < names.size() && k < i + most; ++k) {
+                const Mark* mark = ctx_.jobs.mark(names[k]);
+                if (mark == nullptr || mark->gone) {
+                    continue;
+                }
+                Mark gone = *mark;
+                gone.gone = true;
+                txn.conditions.push_back({keys::mark(names[k]), mark->revision});
+                txn.writes.push_back({keys::mark(names[k]), encode(gone)});
+            }
+            if (!txn.writes.empty()) {
+                releasing_ = true;
+                ctx_.txn(txn, [this](const StateReply& s) {
+                    if (s.status == StateReply::Status::ok ||
+                        s.status == StateReply::Status::conflict) {
+                        ctx_.when_at(s.revision, [this] { releasing_ = false; });
+                    } else {
+                        releasing_ = false;  // released again then, which does no harm
+                    }
+                });
+            }
+        }
+    });
+}
+
+void Provisioner::retire_marks() {
+    if (retiring_) {
+        return;
+    }
+    Txn txn;
+    txn.conditions.push_back(ctx_.epoch_condition());
+    for (const auto& [key, mark] : ctx_.jobs.marks()) {
+        std::string name = key.substr(keys::mark("").size());
+        if (!mark.gone) {
+            gone_since_.erase(name);
+            continue;
+        }
+        double since = gone_since_.try_emplace(name, ctx_.now.steady).first->second;
+        Machine* m = fleet_.find(name);
+        bool listed = m != nullptr && ctx_.now.steady - m->listed_at < constants::gone_mark_s / 2;
+        if (ctx_.now.steady - since > constants::gone_mark_s && !listed &&
+            ctx_.jobs.on_machine(name).empty() &&
+            txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            txn.conditions.push_back({key, mark.revision});
+            txn.writes.push_back({key, std::nullopt});
+        }
+    }
+    if (txn.writes.empty()) {
+        return;
+    }
+    retiring_ = true;
+    ctx_.txn(txn, [this](const StateReply& r) {
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            ctx_.when_at(r.revision, [this] { retiring_ = false; });
+        } else {
+            retiring_ = false;
+        }
+    });
+}
+
+void Provisioner::return_idle() {
+    double t = ctx_.now.steady;
+    // Machines that never came up are charged until they are given back.
+    for (auto& [name, m] : fleet_.machines()) {
+        const MachineType* type = fleet_.type(m.type);
+        if (type == nullptr || m.reported || ctx_.jobs.mark(name) != nullptr) {
+            continue;
+        }
+        bool starting = m.listed_state == ListedState::starting;
+        if (starting && t - m.born > type->boot_s * constants::boot_dead_factor) {
+            fleet_.mark(m, "never came up", true);
+        }
+    }
+    std::vector<Machine*> empty;
+    for (auto& [name, m] : fleet_.machines()) {
+        bool up = m.reported || m.running_since >= 0;
+        if (up && !m.marking && ctx_.jobs.mark(name) == nullptr && m.empty_since >= 0 &&
+            ctx_.jobs.on_machine(name).empty()) {
+            empty.push_back(&m);
+        }
+    }
+    std::sort(empty.begin(), empty.end(), [](const Machine* a, const Machine* b) {
+        return std::tie(a->spot, a->empty_since) > std::tie(b->spot, b->empty_since);
+    });
+    // The longest empty go first, and only those beyond the headroom; spot machines, which
+    // most jobs may not use, are no headroom.
+    int keep = static_cast<int>(std::ceil(ctx_.tunables.headroom_machines));
+    for (Machine* m : empty) {
+        if (!m->spot && keep > 0) {
+            --keep;
+            continue;
+        }
+        double since = std::max(m->empty_since, m->born);
+        if (t - since > ctx_.tunables.idle_return_s) {
+            fleet_.mark(*m, "idle", false);
+        }
+    }
+}
+
+// --- renting ------------------------------------------------------------------------------
+
+std::vector<Provisioner::Bin> Provisioner::bins() const {
+    std::vector<Bin> list;
+    for (const auto& [name, m] : fleet_.machines()) {
+        const MachineType* type = fleet_.type(m.type);
+        if (type == nullptr || m.notice_until || ctx_.jobs.mark(name) != nullptr ||
+            m.listed_state == ListedState::failed) {
+            continue;
+        }
+        double age = ctx_.now.steady - m.born;
+        if (!m.reported && age > type->boot_s * constants::boot_late_factor) {
+            continue;  // it may still come, but nobody should wait for it
+        }
+        list.push_back({m.zone, m.type, m.spot, ctx_.jobs.on_machine(name).empty(),
+                        fleet_.room(m)});
+    }
+    for (const auto& r : rentals_) {
+        const auto& [type, zone, spot] = r.kind;
+        if (const MachineType* t = fleet_.type(type)) {
+            for (int i = 0; i < r.count; ++i) {
+                list.push_back({zone, type, spot, true, t->size});
+            }
+        }
+    }
+    // Fuller ones first: what fits there leaves empty machines whole.
+    std::stable_sort(list.begin(), list.end(), [](const Bin& a, const Bin& b) {
+        return std::tie(b.spot, a.empty, a.room.gpus) < std::tie(a.spot, b.empty, b.room.gpus);
+    });
+    return list;
+}
+
+const MachineType* Provisioner::cheapest(const JobSpec& spec) const {
+    const MachineType* best = nullptr;
+    for (const auto& t : fleet_.types()) {
+        bool ok = !spec.types ||
+                  std::find(spec.types->begin(), spec.types->end(), t.name) != spec.types->end();
+        if (ok && spec.each.fits_in(t.size) && (best == nullptr || t.price < best->price)) {
+            best = &t;
+        }
+    }
+    return best;
+}
+
+std::optional<std::string> Provisioner::pick_zone(const std::string& type, bool spot,
+                                                  const std::optional<std::string>& only,
+                                                  std::map<std::string, int>& load) const {
+    const MachineType* t = fleet_.type(type);
+    std::optional<std::string> best;
+    for (const auto& zone : t->zones) {
+        auto full = no_capacity_until_.find({type, zone, spot});
+        if ((only && *only != zone) ||
+            (full != no_capacity_until_.end() && full->second > ctx_.now.steady)) {
+            continue;
+        }
+        if (!best || load[zone] < load[*best]) {
+            best = zone;
+        }
+    }
+    return best;
+}
+
+void Provisioner::rent() {
+    auto free = bins();
+    std::map<std::string, int> load;
+    for (const auto& b : free) {
+        load[b.zone]++;
+    }
+    std::map<Kind, int> wanted;
+    std::map<std::string, Resources> planned;  // by team
+    auto jobs = scheduler_.order();
+    std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+        return std::tie(a->spec.each.gpus, a->spec.each.cpus) >
+               std::tie(b->spec.each.gpus, b->spec.each.cpus);
+    });
+    for (const Job* job : jobs) {
+        const JobSpec& s = job->spec;
+        const MachineType* type = cheapest(s);
+        if (type == nullptr) {
+            continue;
+        }
+        std::optional<std::string> only = s.zone;
+        if (s.together) {
+            auto placed = job->placements();
+            if (!placed.empty()) {
+                only = placed.front().second.zone;
+            }
+        }
+        std::map<std::string, int> in_zone;
+        for (const auto& [task, p] : job->placements()) {
+            in_zone[p.zone]++;
+        }
+        for (int i = 0; i < job->open(); ++i) {
+            Resources sum = planned[s.team] + s.each;
+            if (!quota_.within_limit(s.team, sum)) {
+                break;
+            }
+            planned[s.team] = sum;
+            Bin* found = nullptr;
+            for (auto& b : free) {
+                bool type_ok = !s.types || std::find(s.types->begin(), s.types->end(), b.type) !=
+                                               s.types->end();
+                bool spread_ok = !s.spread || in_zone[b.zone] < (s.tasks + 1) / 2;
+                if (type_ok && spread_ok && (!only || *only == b.zone) && (!b.spot || s.spot) &&
+                    s.each.fits_in(b.room)) {
+                    found = &b;
+                    break;
+                }
+            }
+            if (found == nullptr) {
+                bool spot = s.spot;
+                auto zone = pick_zone(type->name, spot, only, load);
+                if (!zone && spot) {
+                    spot = false;
+                    zone = pick_zone(type->name, spot, only, load);
+                }
+                if (!zone) {
+                    break;
+                }
+                wanted[{type->name, *zone, spot}]++;
+                load[*zone]++;
+                free.push_back({*zone, type->name, spot, true, type->size});
+                found = &free.back();
+            }
+            found->room -= s.each;
+            found->empty = false;
+            in_zone[found->zone]++;
+            if (s.together && !only) {
+                only = found->zone;
+            }
+        }
+    }
+    // Headroom: whole empty machines for work that has not come yet.
+    double spare = 0;
+    for (const auto& b : free) {
+        spare += b.empty && !b.spot ? 1 : 0;
+    }
+    const MachineType* base = nullptr;
+    for (const auto& t : fleet_.types()) {
+        base = base == nullptr || t.price < base->price ? &t : base;
+    }
+    for (; base != nullptr && spare < ctx_.tunables.headroom_machines; ++spare) {
+        auto zone = pick_zone(base->name, false, std::nullopt, load);
+        if (!zone) {
+            break;
+        }
+        wanted[{base->name, *zone, false}]++;
+        load[*zone]++;
+    }
+    for (const auto& [kind, count] : wanted) {
+        Rental r;
+        r.request = fmt::format("{}-{}-{}", ctx_.settings.name, ctx_.token, ++rentals_made_);
+        r.kind = kind;
+        r.count = std::min(count, constants::rental_max);
+        rentals_.push_back(r);
+    }
+    for (auto& r : rentals_) {
+        if (!r.open && ctx_.now.steady >= r.next_try) {
+            send(r);
+        }
+    }
+}
+
+void Provisioner::send(Rental& rental) {
+    rental.open = true;
+    const auto& [type, zone, spot] = rental.kind;
+    CloudCall call;
+    call.kind = CloudCall::Kind::rent;
+    call.request = rental.request;
+    call.type = type;
+    call.zone = zone;
+    call.spot = spot;
+    call.count = rental.count;
+    ctx_.info("rent {}: {} of {} in {}{}", call.request, call.count, type, zone,
+              spot ? ", spot" : "");
+    ctx_.cloud(call, [this, name = rental.request](const CloudReply& r) {
+        auto it = std::find_if(rentals_.begin(), rentals_.end(),
+                               [&](const Rental& x) { return x.request == name; });
+        if (it == rentals_.end()) {
+            return;  // of an earlier epoch: the list will show what it brought
+        }
+        it->open = false;
+        const auto& [type, zone, spot] = it->kind;
+        switch (r.status) {
+            case CloudReply::Status::ok: {
+                ctx_.info("rented {}: {}", name, fmt::join(r.machines, ","));
+                std::vector<ListedMachine> list;
+                for (const auto& m : r.machines) {
+                    list.push_back({m, "", type, zone, spot, ListedState::starting, 0});
+                }
+                if (static_cast<int>(r.machines.size()) < it->count) {
+                    no_capacity_until_[it->kind] = ctx_.now.steady + constants::no_capacity_s;
+                }
+                rentals_.erase(it);
+                fleet_.listed(list);
+                break;
+            }
+            case CloudReply::Status::no_capacity:
+                ctx_.info("rental {}: no capacity", name);
+                no_capacity_until_[it->kind] = ctx_.now.steady + constants::no_capacity_s;
+                rentals_.erase(it);
+                break;
+            case CloudReply::Status::bad:
+                ctx_.error("rental {}: refused as malformed", name);
+                rentals_.erase(it);
+                break;
+            default:
+                // It may have been executed: repeated under its own name, so that it can't
+                // rent twice.
+                it->next_try = ctx_.now.steady + 1;
+        }
+    });
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/quota.cpp
@@ -0,0 +1,139 @@
+#include "core/quota.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+namespace {
+
+bool unlimited(const Team& t) { return t.limit.cpus <= 0 && t.limit.gpus <= 0; }
+
+// Whether an amount is within a limit, where 0 means none.
+bool within(const Resources& amount, const Team& t) {
+    return (t.limit.cpus <= 0 || amount.cpus <= t.limit.cpus + Resources::slack) &&
+           (t.limit.gpus <= 0 || amount.gpus <= t.limit.gpus + Resources::slack);
+}
+
+Resources at_least_zero(Resources r) {
+    return {std::max(0.0, r.cpus), std::max(0.0, r.gpus), std::max(0.0, r.memory_gb)};
+}
+
+bool none(const Resources& r) {
+    return r.cpus < Resources::slack && r.gpus < Resources::slack && r.memory_gb < Resources::slack;
+}
+
+}  // namespace
+
+const Team* Quota::team(const std::string& name) const {
+    for (const auto& t : ctx_.settings.teams) {
+        if (t.name == name) {
+            return &t;
+        }
+    }
+    return nullptr;
+}
+
+Slices Quota::trimmed(const Team& t) const {
+    Slices next;
+    auto it = ctx_.jobs.slices().find(keys::quota(t.name));
+    if (it != ctx_.jobs.slices().end()) {
+        next = it->second;
+    }
+    const auto& epoch = ctx_.jobs.epoch();
+    for (auto s = next.held.begin(); s != next.held.end();) {
+        if (!epoch || !epoch->has(s->first)) {
+            // Claims of a member that left the epoch are all in the records, since each was
+            // conditional on an epoch with it: its slice is worth what they still take.
+            s->second = at_least_zero(ctx_.jobs.used(t.name, s->first));
+        }
+        bool empty = none(s->second) && s->first != ctx_.me.id;
+        s = empty ? next.held.erase(s) : std::next(s);
+    }
+    return next;
+}
+
+bool Quota::cover(const std::string& name, const Resources& need, Txn& txn) const {
+    const Team* t = team(name);
+    if (t == nullptr) {
+        return false;
+    }
+    if (unlimited(*t)) {
+        return true;
+    }
+    Resources wanted = ctx_.jobs.used(name, ctx_.me.id) + need;
+    if (auto p = pending_.find(name); p != pending_.end()) {
+        wanted += p->second;
+    }
+    auto key = keys::quota(name);
+    auto it = ctx_.jobs.slices().find(key);
+    if (it != ctx_.jobs.slices().end()) {
+        auto mine = it->second.held.find(ctx_.me.id);
+        auto low = ceilings_.find(name);
+        bool given_up = low != ceilings_.end() && low->second.revision == it->second.revision &&
+                        !wanted.fits_in(low->second.amount);
+        if (mine != it->second.held.end() && wanted.fits_in(mine->second) && !given_up) {
+            return true;
+        }
+    }
+    Slices next = trimmed(*t);
+    Resources& slice = next.held[ctx_.me.id];
+    slice = {std::max(slice.cpus, wanted.cpus), std::max(slice.gpus, wanted.gpus),
+             std::max(slice.memory_gb, wanted.memory_gb)};
+    if (!within(next.total(), *t)) {
+        return false;
+    }
+    txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
+    txn.writes.push_back({key, encode(next)});
+    return true;
+}
+
+void Quota::reserve(const std::string& name, const Resources& amount) {
+    pending_[name] += amount;
+}
+
+void Quota::release(const std::string& name, const Resources& amount) {
+    pending_[name] = at_least_zero(pending_[name] - amount);
+}
+
+bool Quota::within_limit(const std::string& name, const Resources& more) const {
+    const Team* t = team(name);
+    return t != nullptr && within(ctx_.jobs.used(name) + more, *t);
+}
+
+void Quota::tick() {
+    if (!ctx_.member || ctx_.now.steady < next_return_) {
+        return;
+    }
+    next_return_ = ctx_.now.steady + constants::slice_return_every_s;
+    for (const auto& t : ctx_.settings.teams) {
+        auto key = keys::quota(t.name);
+        auto it = ctx_.jobs.slices().find(key);
+        if (unlimited(t) || it == ctx_.jobs.slices().end()) {
+            continue;
+        }
+        auto mine = it->second.held.find(ctx_.me.id);
+        if (mine == it->second.held.end()) {
+            continue;
+        }
+        // What is unused is given back only where the team is near its limit and another member
+        // might miss it: a slice in hand saves a write with the next claim.
+        Resources near = it->second.total() + t.limit * constants::slice_return_share;
+        Resources used = at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name];
+        bool surplus = mine->second.gpus > used.gpus + Resources::slack ||
+                       mine->second.cpus > used.cpus + Resources::slack;
+        if (within(near, t) || !surplus) {
+            continue;
+        }
+        Slices next = trimmed(t);
+        next.held[ctx_.me.id] = used;
+        Txn txn;
+        txn.conditions = {ctx_.epoch_condition(), {key, it->second.revision}};
+        txn.writes = {{key, encode(next)}};
+        // From here on no claim may lean on what is given up, whatever becomes of the answer:
+        // the write may be executed late, for as long as the record keeps its revision.
+        ceilings_[t.name] = {it->second.revision, used};
+        ctx_.txn(txn, [](const StateReply&) {});
+    }
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/records.cpp
@@ -0,0 +1,282 @@
+#include "core/records.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+namespace {
+
+// Keys hold no spaces and their parts no slashes; names from the settings may hold anything.
+std::string safe(const std::string& name) {
+    std::string out;
+    for (unsigned char c : name) {
+        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
+            out += static_cast<char>(c);
+        } else {
+            out += fmt::format("%{:02x}", c);
+        }
+    }
+    return out;
+}
+
+Json amounts(const Resources& r) { return Json::array({r.cpus, r.gpus, r.memory_gb}); }
+
+Resources amounts(const Json& value) {
+    return {value.at(0).get<double>(), value.at(1).get<double>(), value.at(2).get<double>()};
+}
+
+}  // namespace
+
+std::uint64_t stable_hash(const std::string& text) {
+    // FNV-1a, with a final mix: without it names that differ in their last letters order alike.
+    std::uint64_t h = 1469598103934665603ULL;
+    for (unsigned char c : text) {
+        h = (h ^ c) * 1099511628211ULL;
+    }
+    h ^= h >> 33;
+    h *= 0xff51afd7ed558ccdULL;
+    h ^= h >> 33;
+    return h;
+}
+
+namespace keys {
+std::string member(const std::string& name) { return "c/m/" + safe(name); }
+std::string job(const std::string& uid) { return "c/j/" + safe(uid); }
+std::string block(const std::string& uid, int index) {
+    return fmt::format("c/b/{}/{}", safe(uid), index);
+}
+std::string quota(const std::string& team) { return "c/q/" + safe(team); }
+std::string mark(const std::string& machine) { return "c/x/" + safe(machine); }
+std::string finished(const std::string& uid) { return "f/" + safe(uid); }
+}  // namespace keys
+
+const Member* Epoch::find(const std::string& name) const {
+    for (const auto& m : members) {
+        if (m.name == name) {
+            return &m;
+        }
+    }
+    return nullptr;
+}
+
+bool Epoch::has(std::uint64_t id) const {
+    return std::any_of(members.begin(), members.end(), [&](const Member& m) { return m.id == id; });
+}
+
+bool Block::is_done(int task) const {
+    for (const auto& [from, to] : done) {
+        if (task >= from && task <= to) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int Block::done_count() const {
+    int n = 0;
+    for (const auto& [from, to] : done) {
+        n += to - from + 1;
+    }
+    return n;
+}
+
+void Block::add_done(int task) {
+    if (is_done(task)) {
+        return;
+    }
+    done.emplace_back(task, task);
+    std::sort(done.begin(), done.end());
+    std::vector<std::pair<int, int>> joined;
+    for (const auto& range : done) {
+        if (!joined.empty() && joined.back().second + 1 == range.first) {
+            joined.back().second = range.second;
+        } else {
+            joined.push_back(range);
+        }
+    }
+    done = std::move(joined);
+}
+
+Resources Slices::total() const {
+    Resources sum;
+    for (const auto& [id, r] : held) {
+        sum += r;
+    }
+    return sum;
+}
+
+const char* kind_name(JobKind kind) {
+    switch (kind) {
+        case JobKind::array:
+            return "array";
+        case JobKind::gang:
+            return "gang";
+        case JobKind::service:
+            break;
+    }
+    return "service";
+}
+
+const char* priority_name(Priority priority) {
+    switch (priority) {
+        case Priority::best_effort:
+            return "best_effort";
+        case Priority::normal:
+            return "normal";
+        case Priority::high:
+            return "high";
+        case Priority::production:
+            break;
+    }
+    return "production";
+}
+
+Json encode_member(const Member& m) {
+    return {{"name", m.name}, {"zone", m.zone}, {"boot", m.boot}, {"id", m.id}};
+}
+
+Member decode_member(const Json& v) {
+    return {v.at("name").get<std::string>(), v.at("zone").get<std::string>(),
+            v.at("boot").get<std::string>(), v.at("id").get<std::uint64_t>()};
+}
+
+Json encode(const Epoch& epoch) {
+    Json members = Json::array();
+    for (const auto& m : epoch.members) {
+        members.push_back(encode_member(m));
+    }
+    return {{"number", epoch.number}, {"members", members}};
+}
+
+Epoch decode_epoch(const Json& v) {
+    Epoch epoch;
+    epoch.number = v.at("number").get<Token>();
+    for (const auto& m : v.at("members")) {
+        epoch.members.push_back(decode_member(m));
+    }
+    return epoch;
+}
+
+Json encode(const Block& block) {
+    Json placed = Json::object();
+    for (const auto& [task, p] : block.placed) {
+        placed[std::to_string(task)] = Json::array({p.machine, p.zone, p.attempt, p.charge});
+    }
+    Json done = Json::array();
+    for (const auto& [from, to] : block.done) {
+        done.push_back(Json::array({from, to}));
+    }
+    return {{"attempt", block.attempt}, {"placed", placed}, {"done", done}};
+}
+
+Block decode_block(const Json& v) {
+    Block block;
+    block.attempt = v.at("attempt").get<std::uint64_t>();
+    for (const auto& [task, p] : v.at("placed").items()) {
+        block.placed[std::stoi(task)] = {p.at(0).get<std::string>(), p.at(1).get<std::string>(),
+                                         p.at(2).get<std::uint64_t>(),
+                                         p.at(3).get<std::uint64_t>()};
+    }
+    for (const auto& range : v.at("done")) {
+        block.done.emplace_back(range.at(0).get<int>(), range.at(1).get<int>());
+    }
+    return block;
+}
+
+Json encode(const Finished& f) {
+    return {{"state", f.cancelled ? "cancelled" : "done"}, {"tasks", f.tasks}};
+}
+
+Finished decode_finished(const Json& v) {
+    return {v.at("state").get<std::string>() == "cancelled", v.at("tasks").get<int>()};
+}
+
+Json encode(const Mark& m) { return {{"why", m.why}, {"fence", m.fence}, {"gone", m.gone}}; }
+
+Mark decode_mark(const Json& v) {
+    Mark m;
+    m.why = v.at("why").get<std::string>();
+    m.fence = v.at("fence").get<bool>();
+    m.gone = v.at("gone").get<bool>();
+    return m;
+}
+
+Json encode(const Slices& slices) {
+    Json held = Json::object();
+    for (const auto& [id, r] : slices.held) {
+        held[std::to_string(id)] = amounts(r);
+    }
+    return {{"held", held}};
+}
+
+Slices decode_slices(const Json& v) {
+    Slices slices;
+    for (const auto& [id, r] : v.at("held").items()) {
+        slices.held[std::stoull(id)] = amounts(r);
+    }
+    return slices;
+}
+
+Json encode_job(const JobSpec& s, double submitted_wall, int block_size, double cancelled_wall) {
+    Json v = {{"uid", s.uid},
+              {"class", s.job_class},
+              {"team", s.team},
+              {"kind", static_cast<int>(s.kind)},
+              {"priority", static_cast<int>(s.priority)},
+              {"tasks", s.tasks},
+              {"each", amounts(s.each)},
+              {"together", s.together},
+              {"spread", s.spread},
+              {"spot", s.spot},
+              {"image", s.image},
+              {"image_gb", s.image_gb},
+              {"estimate_s", s.estimate_s},
+              {"checkpoint_s", s.checkpoint_s},
+              {"save_s", s.save_s},
+              {"submitted", submitted_wall},
+              {"block_size", block_size},
+              {"cancelled", cancelled_wall}};
+    if (s.types) {
+        v["types"] = *s.types;
+    }
+    if (s.zone) {
+        v["zone"] = *s.zone;
+    }
+    if (s.deadline_s) {
+        v["deadline_s"] = *s.deadline_s;
+    }
+    return v;
+}
+
+JobSpec decode_job_spec(const Json& v) {
+    JobSpec s;
+    s.uid = v.at("uid").get<std::string>();
+    s.job_class = v.at("class").get<std::string>();
+    s.team = v.at("team").get<std::string>();
+    s.kind = static_cast<JobKind>(v.at("kind").get<int>());
+    s.priority = static_cast<Priority>(v.at("priority").get<int>());
+    s.tasks = v.at("tasks").get<int>();
+    s.each = amounts(v.at("each"));
+    s.together = v.at("together").get<bool>();
+    s.spread = v.at("spread").get<bool>();
+    s.spot = v.at("spot").get<bool>();
+    s.image = v.at("image").get<std::string>();
+    s.image_gb = v.at("image_gb").get<double>();
+    s.estimate_s = v.at("estimate_s").get<double>();
+    s.checkpoint_s = v.at("checkpoint_s").get<double>();
+    s.save_s = v.at("save_s").get<double>();
+    if (v.contains("types")) {
+        s.types = v.at("types").get<std::vector<std::string>>();
+    }
+    if (v.contains("zone")) {
+        s.zone = v.at("zone").get<std::string>();
+    }
+    if (v.contains("deadline_s")) {
+        s.deadline_s = v.at("deadline_s").get<double>();
+    }
+    return s;
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/records.hpp
@@ -0,0 +1,103 @@
+// The durable records in the state service and their JSON forms. docs/design.md lists the keys.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "core/types.hpp"
+
+namespace cranemoor::core {
+
+using Json = nlohmann::json;
+
+namespace keys {
+inline const std::string live = "c/";  // everything that controllers watch
+inline const std::string epoch = "c/epoch";
+std::string member(const std::string& name);
+std::string job(const std::string& uid);
+std::string block(const std::string& uid, int index);
+std::string quota(const std::string& team);
+std::string mark(const std::string& machine);
+std::string finished(const std::string& uid);
+}  // namespace keys
+
+// The same on every controller and in every version.
+std::uint64_t stable_hash(const std::string& text);
+
+struct Member {
+    std::string name;
+    std::string zone;
+    std::string boot;      // a random word per process start
+    std::uint64_t id = 0;  // the epoch number it joined with: never used twice
+    friend bool operator==(const Member& a, const Member& b) { return a.id == b.id; }
+};
+
+struct Epoch {
+    Token number = 0;
+    std::vector<Member> members;  // by age: the first one rents and returns machines
+    const Member* find(const std::string& name) const;
+    bool has(std::uint64_t id) const;
+};
+
+struct Placement {
+    std::string machine;
+    std::string zone;
+    std::uint64_t attempt = 0;
+    std::uint64_t charge = 0;  // id of the member whose quota slice carries it
+};
+
+struct Block {
+    Revision revision = 0;  // 0: no record yet
+    std::uint64_t attempt = 0;
+    std::map<int, Placement> placed;     // by task number
+    std::vector<std::pair<int, int>> done;  // ranges of task numbers, ends included
+    bool is_done(int task) const;
+    int done_count() const;
+    void add_done(int task);
+};
+
+// The final state of a job, kept for good.
+struct Finished {
+    bool cancelled = false;
+    int tasks = 0;
+};
+
+// Set on a machine before it is returned: nothing new is claimed on it from then on.
+struct Mark {
+    Revision revision = 0;
+    std::string why;
+    bool fence = false;  // release it whatever still runs there
+    bool gone = false;   // the cloud has confirmed the release
+};
+
+// A team's limit as held by members, by member id.
+struct Slices {
+    Revision revision = 0;
+    std::map<std::uint64_t, Resources> held;
+    Resources total() const;
+};
+
+Json encode(const Epoch& epoch);
+Json encode(const Block& block);
+Json encode(const Finished& finished);
+Json encode(const Mark& mark);
+Json encode(const Slices& slices);
+Json encode_member(const Member& member);
+// cancelled_wall: when it was cancelled, 0 if it was not
+Json encode_job(const JobSpec& spec, double submitted_wall, int block_size, double cancelled_wall);
+
+Epoch decode_epoch(const Json& value);
+Block decode_block(const Json& value);
+Finished decode_finished(const Json& value);
+Mark decode_mark(const Json& value);
+Slices decode_slices(const Json& value);
+Member decode_member(const Json& value);
+JobSpec decode_job_spec(const Json& value);
+
+const char* kind_name(JobKind kind);
+const char* priority_name(Priority priority);
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/requests.cpp
@@ -0,0 +1,367 @@
+#include "core/requests.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+void Requests::reply(std::uint64_t request, int status, const std::string& uid,
+                     const std::string& state, const std::string& error) {
+    open_.erase(request);
+    UserReply r;
+    r.request = request;
+    r.status = status;
+    r.uid = uid;
+    r.state = state;
+    r.error = error;
+    ctx_.out.emplace_back(std::move(r));
+}
+
+void Requests::reply_job(std::uint64_t request, int status, const Job& job, bool counts) {
+    open_.erase(request);
+    UserReply r;
+    r.request = request;
+    r.status = status;
+    r.uid = job.spec.uid;
+    int running = 0;
+    for (const auto& [task, p] : job.placements()) {
+        const Machine* m = fleet_.find(p.machine);
+        // What other members' machines do is not known here; a place counts as running.
+        bool known = m != nullptr && m->mine && m->adopted;
+        auto t = known ? m->tasks.find({{job.spec.uid, task}, p.attempt}) : decltype(m->tasks.end()){};
+        if (!known) {
+            ++running;
+        } else if (t != m->tasks.end() && t->second.state == TaskState::running) {
+            ++running;
+        }
+    }
+    if (job.cancelled) {
+        r.state = "cancelled";
+    } else if (job.complete()) {
+        r.state = "done";
+    } else {
+        r.state = running > 0 ? "running" : "queued";
+    }
+    if (counts) {
+        r.counts = std::make_pair(job.done(), running);
+    }
+    ctx_.out.emplace_back(std::move(r));
+}
+
+void Requests::reply_finished(std::uint64_t request, const std::string& uid, const Finished& f,
+                              bool counts) {
+    open_.erase(request);
+    UserReply r;
+    r.request = request;
+    r.status = 200;
+    r.uid = uid;
+    r.state = f.cancelled ? "cancelled" : "done";
+    if (counts) {
+        r.counts = std::make_pair(f.cancelled ? 0 : f.tasks, 0);
+    }
+    ctx_.out.emplace_back(std::move(r));
+}
+
+void Requests::busy(std::uint64_t request, const std::string& uid) {
+    reply(request, 503, uid, "", "not able to decide now");
+}
+
+bool Requests::take(std::uint64_t request) { return open_.count(request) != 0; }
+
+void Requests::remember(const std::string& uid, const Finished& f) {
+    if (!finished_.try_emplace(uid, f).second) {
+        return;
+    }
+    if (finished_order_.size() < constants::finished_cache) {
+        finished_order_.push_back(uid);
+        return;
+    }
+    finished_.erase(finished_order_[finished_next_]);
+    finished_order_[finished_next_] = uid;
+    finished_next_ = (finished_next_ + 1) % finished_order_.size();
+}
+
+void Requests::freshly(std::uint64_t request, const std::string& uid, double wait_s,
+                       std::function<void()> then) {
+    if (!ctx_.jobs.loaded() || !members_.in_contact() ||
+        open_.size() >= constants::user_queue_max) {
+        busy(request, uid);
+        return;
+    }
+    open_[request] = {uid, ctx_.now.steady + wait_s, std::move(then)};
+    queued_.push_back(request);
+    check();
+}
+
+// One compare-only transaction serves every request that waits: its answer names the state
+// service's revision at a moment after they came, and once the watched copy has reached that
+// revision it is as fresh as a read of each key would be.
+void Requests::check() {
+    if (checking_ || queued_.empty() || ctx_.now.steady < next_check_) {
+        return;
+    }
+    checking_ = true;
+    next_check_ = ctx_.now.steady + constants::read_check_every_s;
+    auto batch = std::exchange(queued_, {});
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition()};
+    ctx_.txn(txn, [this, batch](const StateReply& r) {
+        checking_ = false;
+        bool ok = r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict;
+        if (!ok) {
+            for (auto request : batch) {
+                if (auto it = open_.find(request); it != open_.end()) {
+                    busy(request, it->second.uid);
+                }
+            }
+            return;
+        }
+        ctx_.when_at(r.revision, [this, batch] {
+            for (auto request : batch) {
+                auto it = open_.find(request);
+                if (it != open_.end() && it->second.fresh) {
+                    auto then = std::exchange(it->second.fresh, nullptr);
+                    then();
+                }
+            }
+        });
+        check();
+    });
+}
+
+void Requests::look_up(std::uint64_t request, const std::string& uid,
+                       std::function<void(const Finished*)> then) {
+    if (auto it = finished_.find(uid); it != finished_.end()) {
+        then(&it->second);
+        return;
+    }
+    StateCall call;
+    call.kind = StateCall::Kind::get;
+    call.key = keys::finished(uid);
+    ctx_.state(call, [this, request, uid, then = std::move(then)](const StateReply& r) {
+        if (!take(request)) {
+            return;
+        }
+        if (r.status == StateReply::Status::ok) {
+            Finished f = decode_finished(r.value);
+            remember(uid, f);
+            then(&f);
+        } else if (r.status == StateReply::Status::not_found) {
+            then(nullptr);
+        } else {
+            busy(request, uid);
+        }
+    });
+}
+
+std::string Requests::refusal(const JobSpec& s) const {
+    const Team* team = quota_.team(s.team);
+    if (team == nullptr) {
+        return "unknown team";
+    }
+    bool fits = false;
+    for (const auto& t : fleet_.types()) {
+        bool type_ok =
+            !s.types || std::find(s.types->begin(), s.types->end(), t.name) != s.types->end();
+        bool zone_ok = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) !=
+                                      t.zones.end();
+        fits = fits || (type_ok && zone_ok && s.each.fits_in(t.size));
+    }
+    if (!fits) {
+        return "a task fits no allowed machine type";
+    }
+    Resources need = s.each * (s.kind == JobKind::array ? 1 : s.tasks);
+    if ((team->limit.cpus > 0 && need.cpus > team->limit.cpus + Resources::slack) ||
+        (team->limit.gpus > 0 && need.gpus > team->limit.gpus + Resources::slack)) {
+        return "more than the team's limit";
+    }
+    return "";
+}
+
+void Requests::submit(std::uint64_t request, const JobSpec& spec) {
+    if (!ctx_.member || fleet_.types().empty()) {
+        busy(request, spec.uid);
+        return;
+    }
+    std::string why = refusal(spec);
+    if (why.empty() && ctx_.jobs.find(spec.uid) == nullptr && finished_.count(spec.uid) == 0) {
+        open_[request] = {spec.uid, ctx_.now.steady + constants::submit_wait_s, nullptr};
+        if (!members_.in_contact() || open_.size() > constants::user_queue_max) {
+            busy(request, spec.uid);
+            return;
+        }
+        accept(request, spec, 3);
+        return;
+    }
+    // Known, or to be refused: a job accepted earlier is never told 422.
+    freshly(request, spec.uid, constants::submit_wait_s, [this, request, spec, why] {
+        if (const Job* job = ctx_.jobs.find(spec.uid)) {
+            reply_job(request, 200, *job, false);
+            return;
+        }
+        look_up(request, spec.uid, [this, request, spec, why](const Finished* f) {
+            if (f != nullptr) {
+                reply_finished(request, spec.uid, *f, false);
+            } else if (!why.empty()) {
+                reply(request, 422, spec.uid, "", why);
+            } else {
+                accept(request, spec, 3);
+            }
+        });
+    });
+}
+
+void Requests::invalid(std::uint64_t request, const std::optional<std::string>& uid,
+                       const std::string& error) {
+    if (!uid) {
+        reply(request, 400, "", "", error);
+        return;
+    }
+    freshly(request, *uid, constants::submit_wait_s, [this, request, uid = *uid, error] {
+        if (const Job* job = ctx_.jobs.find(uid)) {
+            reply_job(request, 200, *job, false);
+            return;
+        }
+        look_up(request, uid, [this, request, uid, error](const Finished* f) {
+            if (f != nullptr) {
+                reply_finished(request, uid, *f, false);
+            } else {
+                reply(request, 400, uid, "", error);
+            }
+        });
+    });
+}
+
+void Requests::accept(std::uint64_t request, const JobSpec& spec, int tries) {
+    if (!ctx_.member || tries == 0) {
+        busy(request, spec.uid);
+        return;
+    }
+    int per_block = static_cast<int>((ctx_.settings.state_value_kb * 1024 -
+                                      constants::block_overhead_bytes) /
+                                     constants::placement_bytes);
+    per_block = std::max(2, std::min(constants::block_tasks_max, per_block) / 2 * 2);
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition(),
+                      {keys::job(spec.uid), 0},
+                      {keys::finished(spec.uid), 0}};
+    txn.writes = {{keys::job(spec.uid), encode_job(spec, ctx_.now.wall, per_block, 0)}};
+    ctx_.txn(txn, [this, request, spec, tries](const StateReply& r) {
+        if (!take(request)) {
+            return;
+        }
+        if (r.status == StateReply::Status::ok) {
+            ctx_.info("job {}: accepted, {} of {} tasks, class {} team {}", spec.uid,
+                      kind_name(spec.kind), spec.tasks, spec.job_class, spec.team);
+            reply(request, 201, spec.uid, "queued");
+            return;
+        }
+        if (r.status != StateReply::Status::conflict) {
+            busy(request, spec.uid);
+            return;
+        }
+        ctx_.when_at(r.revision, [this, request, spec, tries] {
+            if (!take(request)) {
+                return;
+            }
+            if (const Job* job = ctx_.jobs.find(spec.uid)) {
+                reply_job(request, 200, *job, false);
+                return;
+            }
+            look_up(request, spec.uid, [this, request, spec, tries](const Finished* f) {
+                if (f != nullptr) {
+                    reply_finished(request, spec.uid, *f, false);
+                } else {
+                    accept(request, spec, tries - 1);
+                }
+            });
+        });
+    });
+}
+
+void Requests::poll(std::uint64_t request, const std::string& uid) {
+    if (auto it = finished_.find(uid); it != finished_.end()) {
+        reply_finished(request, uid, it->second, true);
+        return;
+    }
+    freshly(request, uid, constants::user_wait_s, [this, request, uid] {
+        if (const Job* job = ctx_.jobs.find(uid)) {
+            reply_job(request, 200, *job, true);
+            return;
+        }
+        look_up(request, uid, [this, request, uid](const Finished* f) {
+            if (f != nullptr) {
+                reply_finished(request, uid, *f, true);
+            } else {
+                reply(request, 404, uid, "", "no such job");
+            }
+        });
+    });
+}
+
+void Requests::cancel(std::uint64_t request, const std::string& uid) {
+    if (auto it = finished_.find(uid); it != finished_.end()) {
+        reply_finished(request, uid, it->second, false);
+        return;
+    }
+    freshly(request, uid, constants::submit_wait_s,
+            [this, request, uid] { do_cancel(request, uid, 4); });
+}
+
+void Requests::do_cancel(std::uint64_t request, const std::string& uid, int tries) {
+    const Job* job = ctx_.jobs.find(uid);
+    if (job == nullptr) {
+        look_up(request, uid, [this, request, uid](const Finished* f) {
+            if (f != nullptr) {
+                reply_finished(request, uid, *f, false);
+            } else {
+                reply(request, 404, uid, "", "no such job");
+            }
+        });
+        return;
+    }
+    if (job->cancelled || job->complete()) {
+        reply_job(request, 200, *job, false);
+        return;
+    }
+    if (!ctx_.member || tries == 0) {
+        busy(request, uid);
+        return;
+    }
+    // Conditional on the job alone: claims are conditional on it too, so none can follow.
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition(), {keys::job(uid), job->revision}};
+    txn.writes = {{keys::job(uid), encode_job(job->spec, job->submitted_wall, job->block_size,
+                                              std::max(1.0, ctx_.now.wall))}};
+    ctx_.txn(txn, [this, request, uid, tries](const StateReply& r) {
+        if (!take(request)) {
+            return;
+        }
+        if (r.status == StateReply::Status::ok) {
+            ctx_.info("job {}: cancelled", uid);
+            reply(request, 200, uid, "cancelled");
+        } else if (r.status == StateReply::Status::conflict) {
+            ctx_.when_at(r.revision, [this, request, uid, tries] {
+                if (take(request)) {
+                    do_cancel(request, uid, tries - 1);
+                }
+            });
+        } else {
+            busy(request, uid);
+        }
+    });
+}
+
+void Requests::tick() {
+    check();
+    std::vector<std::uint64_t> late;
+    for (const auto& [request, w] : open_) {
+        if (ctx_.now.steady >= w.until) {
+            late.push_back(request);
+        }
+    }
+    for (auto request : late) {
+        busy(request, open_[request].uid);
+    }
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/requests.hpp
@@ -0,0 +1,71 @@
+// Requests: what users submit, ask and cancel. Nothing is told before it is durable, and nothing
+// that may have changed is told without a fresh look at the state service.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/context.hpp"
+#include "core/fleet.hpp"
+#include "core/membership.hpp"
+#include "core/quota.hpp"
+
+namespace cranemoor::core {
+
+class Requests {
+  public:
+    Requests(Context& ctx, Membership& members, Fleet& fleet, Quota& quota)
+        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota) {}
+
+    void submit(std::uint64_t request, const JobSpec& spec);
+    // A submission that can't be read; its uid, if that much was clear.
+    void invalid(std::uint64_t request, const std::optional<std::string>& uid,
+                 const std::string& error);
+    void poll(std::uint64_t request, const std::string& uid);
+    void cancel(std::uint64_t request, const std::string& uid);
+    void tick();
+
+  private:
+    struct Waiting {
+        std::string uid;
+        double until = 0;
+        std::function<void()> fresh;  // runs once the records are known to be current
+    };
+
+    void reply(std::uint64_t request, int status, const std::string& uid,
+               const std::string& state, const std::string& error = "");
+    void reply_job(std::uint64_t request, int status, const Job& job, bool counts);
+    void reply_finished(std::uint64_t request, const std::string& uid, const Finished& f,
+                        bool counts);
+    void busy(std::uint64_t request, const std::string& uid);
+    // Runs `then` with records at least as fresh as this moment; gives up with 503.
+    void freshly(std::uint64_t request, const std::string& uid, double wait_s,
+                 std::function<void()> then);
+    void check();
+    // Looks among the finished jobs, in memory and then in the state service.
+    void look_up(std::uint64_t request, const std::string& uid,
+                 std::function<void(const Finished*)> then);
+    void remember(const std::string& uid, const Finished& f);
+    std::string refusal(const JobSpec& spec) const;
+    void accept(std::uint64_t request, const JobSpec& spec, int tries);
+    void do_cancel(std::uint64_t request, const std::string& uid, int tries);
+    // Removes a request from the waiting ones; false if it was answered already.
+    bool take(std::uint64_t request);
+
+    Context& ctx_;
+    Membership& members_;
+    Fleet& fleet_;
+    Quota& quota_;
+    std::map<std::uint64_t, Waiting> open_;
+    std::vector<std::uint64_t> queued_;  // for the next read check
+    bool checking_ = false;
+    double next_check_ = 0;
+    std::unordered_map<std::string, Finished> finished_;
+    std::vector<std::string> finished_order_;
+    std::size_t finished_next_ = 0;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/scheduler.cpp
@@ -0,0 +1,459 @@
+#include "core/scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranemoor::core {
+
+namespace {
+
+double part(double amount, double of) { return of > 0 ? amount / of : 0; }
+
+}  // namespace
+
+std::vector<const Job*> Scheduler::order() const {
+    struct Rank {
+        bool below = false;
+        double deficit = 0;
+        double share = 0;
+    };
+    std::map<std::string, Rank> teams;
+    for (const auto& t : ctx_.settings.teams) {
+        const Resources& used = ctx_.jobs.used(t.name);
+        Rank r;
+        r.deficit = std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
+                             t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
+        r.below = r.deficit > Resources::slack;
+        // The settings carry no weights: a team weighs what it is guaranteed, else 1.
+        double weight = std::max(t.guarantee.gpus, t.guarantee.cpus);
+        r.share = std::max(used.gpus, t.guarantee.gpus > 0 ? 0.0 : used.cpus) /
+                  (weight > 0 ? weight : 1.0);
+        teams[t.name] = r;
+    }
+    std::vector<const Job*> list;
+    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
+        if (job.revision != 0 && !job.cancelled && job.open() > 0 &&
+            ctx_.now.steady >= fleet_.job_pause_until(uid)) {
+            list.push_back(&job);
+        }
+    }
+    std::sort(list.begin(), list.end(), [&](const Job* a, const Job* b) {
+        if (a->spec.team != b->spec.team) {
+            const Rank& x = teams[a->spec.team];
+            const Rank& y = teams[b->spec.team];
+            if (x.below != y.below) {
+                return x.below;
+            }
+            if (x.below && x.deficit != y.deficit) {
+                return x.deficit > y.deficit;
+            }
+            if (!x.below && x.share != y.share) {
+                return x.share < y.share;
+            }
+            return a->spec.team < b->spec.team;
+        }
+        if (a->spec.priority != b->spec.priority) {
+            return a->spec.priority > b->spec.priority;
+        }
+        return std::tie(a->submitted_wall, a->spec.uid) < std::tie(b->submitted_wall, b->spec.uid);
+    });
+    return list;
+}
+
+bool Scheduler::allowed(const Job& job, const Machine& m) const {
+    const JobSpec& s = job.spec;
+    if (s.types && std::find(s.types->begin(), s.types->end(), m.type) == s.types->end()) {
+        return false;
+    }
+    if ((s.zone && *s.zone != m.zone) || (m.spot && !s.spot)) {
+        return false;
+    }
+    if (s.together && s.kind != JobKind::gang && job.block_count() > 1) {
+        // Claims on different blocks don't see each other: a fixed zone keeps them together.
+        const auto& zones = ctx_.settings.zones;
+        std::size_t pick = stable_hash(s.uid) % std::max<std::size_t>(1, zones.size());
+        return !s.zone && pick < zones.size() ? zones[pick] == m.zone : true;
+    }
+    if (s.together) {
+        for (const auto& [task, p] : job.placements()) {
+            if (p.zone != m.zone) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+int Scheduler::spread_room(const Job& job, int k, const std::string& zone) {
+    int first = job.block_first(k);
+    int size = job.block_last(k) - first + 1;
+    if (!job.spec.spread) {
+        return size;
+    }
+    // Blocks are of even size, all but the last: if each keeps to half of its own tasks, rounded
+    // up, then so does the job. That lets a claim be checked under its own block's revision.
+    int there = 0;
+    for (const auto& [task, p] : job.block(k).placed) {
+        there += p.zone == zone ? 1 : 0;
+    }
+    return std::max(0, (size + 1) / 2 - there);
+}
+
+bool Scheduler::better_elsewhere(const Machine& m, const Job& job, const Resources& room) const {
+    // Keeps empty machines whole for gangs that need one: a small task lets an empty machine
+    // pass, as it would one without its image, while a machine in use has room for it.
+    const MachineType* t = fleet_.type(m.type);
+    if (t == nullptr || job.spec.kind == JobKind::gang || !ctx_.jobs.on_machine(m.name).empty()) {
+        return false;
+    }
+    (void)room;
+    for (const auto& [name, other] : fleet_.machines()) {
+        if (name == m.name || ctx_.jobs.on_machine(name).empty() || !other.reported ||
+            ctx_.jobs.mark(name) != nullptr || other.notice_until || !allowed(job, other)) {
+            continue;
+        }
+        if (fleet_.has_image(m, job.spec.image) && !fleet_.has_image(other, job.spec.image)) {
+            continue;
+        }
+        if (job.spec.each.fits_in(fleet_.room(other))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Scheduler::opportunity(Machine& m) {
+    double dt = ctx_.now.steady - last_heartbeat_;
+    last_heartbeat_ = ctx_.now.steady;
+    for (auto& [uid, w] : waits_) {
+        if (w.skipped) {
+            w.wait += dt;
+            w.skipped = false;
+        }
+    }
+    Resources room = fleet_.room(m);
+    if (auto r = reserved_.find(m.name); r != reserved_.end()) {
+        room -= r->second;
+    }
+    if (room.cpus < Resources::slack) {
+        return;
+    }
+    auto hold = holds_.find(m.name);
+    if (hold != holds_.end() && hold->second.until < ctx_.now.steady) {
+        holds_.erase(hold);
+        hold = holds_.end();
+    }
+    for (const Job* job : order()) {
+        walk_one(m, *job, room);
+        if (hold != holds_.end() && hold->second.uid == job->spec.uid) {
+            break;  // whoever comes later in the order leaves the held room alone
+        }
+    }
+}
+
+bool Scheduler::walk_one(Machine& m, const Job& job, Resources& room) {
+    if (!allowed(job, m)) {
+        return false;
+    }
+    bool gang = job.spec.kind == JobKind::gang && job.done() == 0;
+    if (!job.spec.each.fits_in(room)) {
+        const MachineType* t = fleet_.type(m.type);
+        if (gang && t != nullptr && job.spec.each.fits_in(t->size)) {
+            hold_for(job);
+        }
+        return false;
+    }
+    Wait& w = waits_[job.spec.uid];
+    bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
+    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) ||
+                better_elsewhere(m, job, room);
+    if (pass && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s) {
+        w.skipped = true;
+        return false;
+    }
+    int n = 0;
+    if (gang && job.spec.tasks > 1) {
+        n = claim_gang(m, job) ? 1 : 0;
+    } else {
+        n = claim_tasks(m, job, room);
+    }
+    if (n > 0) {
+        w.wait = 0;
+        w.level = local ? 0 : 1;
+        if (!(gang && job.spec.tasks > 1)) {
+            room -= job.spec.each * n;
+        }
+    }
+    return n > 0;
+}
+
+int Scheduler::claim_tasks(Machine& m, const Job& job, const Resources& room) {
+    int fits = 0;
+    Resources left = room;
+    while (fits < job.open() && job.spec.each.fits_in(left)) {
+        left -= job.spec.each;
+        ++fits;
+    }
+    for (int k = 0; k < job.block_count(); ++k) {
+        auto key = keys::block(job.spec.uid, k);
+        if (ctx_.busy.count(key) != 0) {
+            continue;
+        }
+        int most = std::min(fits, spread_room(job, k, m.zone));
+        Block next = job.block(k);
+        int n = 0;
+        next.attempt++;
+        for (int t = job.block_first(k); t <= job.block_last(k) && n < most; ++t) {
+            if (next.placed.count(t) == 0 && !next.is_done(t)) {
+                next.placed[t] = {m.name, m.zone, next.attempt, ctx_.me.id};
+                ++n;
+            }
+        }
+        Txn txn;
+        // Less than what would fit, if the limit allows only that.
+        while (n > 0 && (!quota_.within_limit(job.spec.team, job.spec.each * n) ||
+                         !quota_.cover(job.spec.team, job.spec.each * n, txn))) {
+            next.placed.erase(std::prev(std::find_if(next.placed.rbegin(), next.placed.rend(),
+                                                     [&](const auto& p) {
+                                                         return p.second.attempt == next.attempt;
+                                                     })
+                                            .base()));
+            --n;
+            txn = {};
+        }
+        if (n == 0) {
+            continue;
+        }
+        send_claim(job, {{k, next}}, std::vector<std::string>(static_cast<std::size_t>(n), m.name),
+                   n, std::move(txn));
+        return n;
+    }
+    return 0;
+}
+
+bool Scheduler::claim_gang(Machine& m, const Job& job) {
+    // Whole or not at all: every block of the job goes into one transaction, so that one
+    // controller starts it, also on machines of others, which launch what the records say.
+    int blocks = job.block_count();
+    if (blocks + 1 > ctx_.settings.state_txn_ops || job.open() != job.spec.tasks) {
+        return false;
+    }
+    std::map<int, Block> next;
+    std::uint64_t attempt = 0;
+    for (int k = 0; k < blocks; ++k) {
+        if (ctx_.busy.count(keys::block(job.spec.uid, k)) != 0) {
+            return false;
+        }
+        next[k] = job.block(k);
+        attempt = std::max(attempt, next[k].attempt);
+    }
+    ++attempt;
+    struct Bin {
+        const Machine* machine;
+        Resources room;
+        bool local;
+    };
+    std::map<std::string, std::vector<Bin>> zones;
+    for (const auto& [name, other] : fleet_.machines()) {
+        bool known = other.reported || (other.listed && other.running_since >= 0);
+        bool ok = other.mine ? fleet_.usable(other)
+                             : known && ctx_.jobs.mark(name) == nullptr && !other.notice_until;
+        if (!ok || !allowed(job, other)) {
+            continue;
+        }
+        Resources room = fleet_.room(other);
+        if (auto r = reserved_.find(name); r != reserved_.end()) {
+            room -= r->second;
+        }
+        if (job.spec.each.fits_in(room)) {
+            zones[job.spec.together ? other.zone : ""].push_back(
+                {&other, room, fleet_.has_image(other, job.spec.image)});
+        }
+    }
+    for (auto& [zone, bins] : zones) {
+        std::stable_sort(bins.begin(), bins.end(), [&](const Bin& a, const Bin& b) {
+            bool a_here = a.machine->name == m.name;
+            bool b_here = b.machine->name == m.name;
+            return std::tie(a_here, a.local) > std::tie(b_here, b.local);
+        });
+        std::vector<std::pair<std::string, std::string>> places;
+        std::map<std::string, int> in_zone;
+        int half = (job.spec.tasks + 1) / 2;
+        for (auto& bin : bins) {
+            while (static_cast<int>(places.size()) < job.spec.tasks &&
+                   job.spec.each.fits_in(bin.room) &&
+                   (!job.spec.spread || in_zone[bin.machine->zone] < half)) {
+                bin.room -= job.spec.each;
+                in_zone[bin.machine->zone]++;
+                places.emplace_back(bin.machine->name, bin.machine->zone);
+            }
+        }
+        if (static_cast<int>(places.size()) < job.spec.tasks) {
+            continue;
+        }
+        Txn txn;
+        Resources all = job.spec.each * job.spec.tasks;
+        if (!quota_.within_limit(job.spec.team, all) ||
+            !quota_.cover(job.spec.team, all, txn)) {
+            return false;
+        }
+        std::vector<std::string> names;
+        for (int t = 0; t < job.spec.tasks; ++t) {
+            const auto& [machine, where] = places[static_cast<std::size_t>(t)];
+            Block& b = next[job.block_of(t)];
+            b.attempt = attempt;
+            b.placed[t] = {machine, where, attempt, ctx_.me.id};
+            names.push_back(machine);
+        }
+        send_claim(job, next, names, job.spec.tasks, std::move(txn));
+        return true;
+    }
+    hold_for(job);
+    return false;
+}
+
+void Scheduler::send_claim(const Job& job, const std::map<int, Block>& blocks,
+                           const std::vector<std::string>& machines, int tasks, Txn txn) {
+    txn.conditions.push_back(ctx_.epoch_condition());
+    txn.conditions.push_back({keys::job(job.spec.uid), job.revision});
+    std::vector<std::string> taken;
+    Claim claim;
+    for (const auto& [k, b] : blocks) {
+        auto key = keys::block(job.spec.uid, k);
+        Revision was = job.block(k).revision;
+        txn.conditions.push_back({key, was});
+        txn.writes.push_back({key, encode(b)});
+        ctx_.busy.insert(key);
+        taken.push_back(key);
+        claim.key = key;
+        claim.revision = was;
+    }
+    // Whoever returns a machine writes its mark first: a claim that comes later fails here.
+    std::set<std::string> distinct(machines.begin(), machines.end());
+    std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
+    for (const auto& name : distinct) {
+        if (txn.conditions.size() < most) {
+            txn.conditions.push_back({keys::mark(name), 0});
+        }
+    }
+    for (const auto& name : machines) {
+        reserved_[name] += job.spec.each;
+    }
+    for (const auto& name : distinct) {
+        if (Machine* m = fleet_.find(name)) {
+            m->claims++;
+        }
+    }
+    claim.epoch = ctx_.jobs.revision_of(keys::epoch);
+    claim.team = job.spec.team;
+    claim.amount = job.spec.each * tasks;
+    quota_.reserve(claim.team, claim.amount);
+    ctx_.info("claim {} tasks {} on {}", job.spec.uid, tasks, fmt::join(distinct, ","));
+    ctx_.txn(txn, [this, taken, machines, distinct, claim, each = job.spec.each,
+                   uid = job.spec.uid](const StateReply& r) {
+        auto over = [this, taken, machines, distinct, each] {
+            for (const auto& key : taken) {
+                ctx_.busy.erase(key);
+            }
+            for (const auto& name : machines) {
+                reserved_[name] -= each;
+            }
+            for (const auto& name : distinct) {
+                Machine* m = fleet_.find(name);
+                if (m != nullptr) {
+                    m->claims--;
+                    if (fleet_.on_room && m->request && fleet_.usable(*m) && m->claims == 0) {
+                        fleet_.on_room(*m);
+                    }
+                }
+            }
+            fleet_.flush();
+            fleet_.settle_answers();
+        };
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            if (r.status == StateReply::Status::conflict) {
+                ctx_.debug("claim {}: lost to another change of {}", uid,
+                           fmt::join(r.failed, ","));
+            }
+            ctx_.when_at(r.revision, [this, claim, over] {
+                quota_.release(claim.team, claim.amount);
+                over();
+            });
+        } else if (r.status == StateReply::Status::unknown) {
+            // It may still be executed, for as long as its conditions hold: its amount stays
+            // reserved until the records have moved on.
+            unknown_.push_back(claim);
+            over();
+        } else {
+            quota_.release(claim.team, claim.amount);
+            over();
+        }
+    });
+}
+
+const Machine* Scheduler::candidate_for_hold(const Job& job) const {
+    // The machine of ours that will be empty soonest: none that runs a service.
+    const Machine* best = nullptr;
+    double best_work = 0;
+    for (const auto& [name, m] : fleet_.machines()) {
+        if (!fleet_.usable(m) || !allowed(job, m) || holds_.count(name) != 0) {
+            continue;
+        }
+        double work = 0;
+        bool service = false;
+        for (const auto& id : ctx_.jobs.on_machine(name)) {
+            if (const Job* other = ctx_.jobs.find(id.uid)) {
+                service = service || other->spec.kind == JobKind::service;
+                work = std::max(work, other->spec.estimate_s);
+            }
+        }
+        if (!service && (best == nullptr || work < best_work)) {
+            best = &m;
+            best_work = work;
+        }
+    }
+    return best;
+}
+
+void Scheduler::hold_for(const Job& job) {
+    int held = 0;
+    for (const auto& [name, h] : holds_) {
+        held += h.uid == job.spec.uid && h.until >= ctx_.now.steady ? 1 : 0;
+    }
+    if (held >= job.spec.tasks) {
+        return;
+    }
+    if (const Machine* m = candidate_for_hold(job)) {
+        holds_[m->name] = {job.spec.uid, ctx_.now.steady + ctx_.tunables.gang_hold_s};
+        ctx_.debug("hold {} for gang {}", m->name, job.spec.uid);
+    }
+}
+
+void Scheduler::epoch_changed() { holds_.clear(); }
+
+void Scheduler::records_changed() {
+    for (std::size_t i = 0; i < unknown_.size();) {
+        const Claim& c = unknown_[i];
+        bool open = ctx_.jobs.revision_of(c.key) == c.revision &&
+                    ctx_.jobs.revision_of(keys::epoch) == c.epoch;
+        if (open) {
+            ++i;
+            continue;
+        }
+        quota_.release(c.team, c.amount);
+        unknown_.erase(unknown_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    for (auto it = waits_.begin(); it != waits_.end();) {
+        const Job* job = ctx_.jobs.find(it->first);
+        it = job == nullptr || job->open() == 0 ? waits_.erase(it) : std::next(it);
+    }
+    for (auto it = holds_.begin(); it != holds_.end();) {
+        const Job* job = ctx_.jobs.find(it->second.uid);
+        bool over = job == nullptr || job->open() == 0 || it->second.until < ctx_.now.steady;
+        it = over ? holds_.erase(it) : std::next(it);
+    }
+}
+
+void Scheduler::tick() {}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/scheduler.hpp
@@ -0,0 +1,75 @@
+// Scheduler: the paper's Algorithm 3 with one locality level. On each report with free room it
+// walks the jobs in fair team order; a job without its image on the machine lets it pass for at
+// most W seconds. Gangs hold room and start whole.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.hpp"
+#include "core/fleet.hpp"
+#include "core/membership.hpp"
+#include "core/quota.hpp"
+
+namespace cranemoor::core {
+
+class Scheduler {
+  public:
+    Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota)
+        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota) {}
+
+    // One scheduling opportunity: a machine of ours with free room and an open answer.
+    void opportunity(Machine& m);
+    void epoch_changed();
+    void records_changed();
+    void tick();
+
+    // Jobs with tasks to place, in the order in which they are walked.
+    std::vector<const Job*> order() const;
+    // Whether a task of the job may ever be on that machine, and in that zone just now.
+    bool allowed(const Job& job, const Machine& m) const;
+    // How many tasks the spread rule lets the job add in a zone, in one block.
+    static int spread_room(const Job& job, int block, const std::string& zone);
+
+  private:
+    struct Wait {
+        int level = 0;
+        double wait = 0;
+        bool skipped = false;
+    };
+    struct Hold {
+        std::string uid;
+        double until = 0;
+    };
+    // A claim whose outcome is open: counted until the records tell.
+    struct Claim {
+        std::string key;
+        Revision revision = 0;
+        Revision epoch = 0;
+        std::string team;
+        Resources amount;
+    };
+
+    bool walk_one(Machine& m, const Job& job, Resources& room);
+    int claim_tasks(Machine& m, const Job& job, const Resources& room);
+    bool claim_gang(Machine& m, const Job& job);
+    bool better_elsewhere(const Machine& m, const Job& job, const Resources& room) const;
+    void send_claim(const Job& job, const std::map<int, Block>& blocks,
+                    const std::vector<std::string>& machines, int tasks, Txn txn);
+    void hold_for(const Job& job);
+    const Machine* candidate_for_hold(const Job& job) const;
+
+    Context& ctx_;
+    Membership& members_;
+    Fleet& fleet_;
+    Quota& quota_;
+    std::map<std::string, Wait> waits_;
+    std::map<std::string, Hold> holds_;  // by machine
+    std::map<std::string, Resources> reserved_;  // by machine, claims under way
+    std::vector<Claim> unknown_;
+    double last_heartbeat_ = 0;
+};
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/io/cloud_client.cpp
@@ -0,0 +1,53 @@
+#include "io/cloud_client.hpp"
+
+#include "core/constants.hpp"
+#include "wire/messages.hpp"
+
+namespace cranemoor::io {
+
+namespace {
+constexpr std::size_t connections = 4;
+constexpr std::size_t answer_max = 16U * 1024 * 1024;  // bytes
+// share of the limit for one controller: the leading one makes most of the calls
+constexpr double share = 0.6;
+}  // namespace
+
+CloudClient::CloudClient(Loop& loop, const core::Settings& s, Done done)
+    : loop_(loop),
+      done_(std::move(done)),
+      client_(loop, s.cloud_address, connections, answer_max),
+      budget_(s.cloud_rps * share, s.cloud_rps * share),
+      timer_(loop, [this] { pump(); }) {}
+
+void CloudClient::call(core::CloudCall call) {
+    // Releases free places that others wait for: they go first.
+    if (call.kind == core::CloudCall::Kind::release) {
+        queue_.push_front(std::move(call));
+    } else {
+        queue_.push_back(std::move(call));
+    }
+    pump();
+}
+
+void CloudClient::pump() {
+    double t = loop_.now().steady;
+    while (!queue_.empty() && budget_.has(t, 1)) {
+        budget_.take(1);
+        core::CloudCall call = std::move(queue_.front());
+        queue_.pop_front();
+        auto request = wire::cloud_request(call);
+        client_.request(request.method, request.target, request.body,
+                        core::constants::cloud_timeout_s, [this, call](const HttpMessage* m) {
+                            core::CloudReply reply;
+                            if (m != nullptr) {
+                                reply = wire::read_cloud_reply(call, m->status, m->body);
+                            }
+                            done_(call.id, reply);
+                        });
+    }
+    if (!queue_.empty()) {
+        timer_.start(std::max(0.001, budget_.wait(t, 1)));
+    }
+}
+
+}  // namespace cranemoor::io
--- /dev/null
+++ b/src/io/gateway.cpp
@@ -0,0 +1,237 @@
+#include "io/gateway.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "core/constants.hpp"
+#include "wire/messages.hpp"
+
+namespace cranemoor::io {
+
+namespace c = core::constants;
+
+namespace {
+// s between ticks of the core: the finest of its deadlines is a tenth of a second
+constexpr double tick_s = 0.05;
+// share of the settings' sockets that users and workers may take
+constexpr double front_share = 0.85;
+// sockets for the other controllers
+constexpr std::size_t back_connections = 64;
+constexpr std::size_t peer_connections = 16;
+// connections to one worker
+constexpr std::size_t worker_connections = 2;
+// s after which an unused client to a worker is dropped
+constexpr double worker_idle_s = 20;
+// bytes of an answer of a worker or peer at the most
+constexpr std::size_t answer_max = 1024 * 1024;
+
+const std::string work = "/work";
+}  // namespace
+
+Gateway::Gateway(Loop& loop, const core::Settings& settings, core::Controller& controller)
+    : loop_(loop),
+      settings_(settings),
+      controller_(controller),
+      front_(loop, settings.serve_on,
+             static_cast<std::size_t>(settings.max_connections * front_share),
+             [this](std::uint64_t r, HttpMessage&& m) { serve(r, std::move(m)); }),
+      back_(loop, settings.back, back_connections,
+            [this](std::uint64_t r, HttpMessage&& m) { serve_back(r, std::move(m)); }),
+      state_(loop, settings,
+             [this](std::uint64_t id, const core::StateReply& r) {
+                 controller_.state_reply(loop_.now(), id, r);
+                 act();
+             }),
+      cloud_(loop, settings,
+             [this](std::uint64_t id, const core::CloudReply& r) {
+                 controller_.cloud_reply(loop_.now(), id, r);
+                 act();
+             }),
+      tick_(loop,
+            [this] {
+                controller_.tick(loop_.now());
+                act();
+            }),
+      pruner_(loop, [this] { prune(); }) {
+    for (const auto& p : settings.peers) {
+        peers_[p.name] =
+            std::make_unique<HttpClient>(loop, p.address, peer_connections, answer_max);
+    }
+}
+
+void Gateway::start() {
+    controller_.start(loop_.now());
+    act();
+    tick_.start(tick_s, tick_s);
+    pruner_.start(worker_idle_s, worker_idle_s);
+}
+
+void Gateway::serve(std::uint64_t request, HttpMessage&& m) {
+    core::Now now = loop_.now();
+    std::string path = m.target.substr(0, m.target.find('?'));
+    if (path == "/healthz" && m.method == "GET") {
+        front_.reply(request, controller_.healthy(now) ? 200 : 503, "");
+        return;
+    }
+    if (path == "/hello" && m.method == "POST") {
+        auto value = wire::decode(m.body);
+        auto report = value && value->is_object() ? wire::read_report(*value) : std::nullopt;
+        if (!report) {
+            front_.reply(request, 400, "");
+            return;
+        }
+        controller_.report(now, request, *report, false);
+    } else if (path == work && m.method == "POST") {
+        auto read = wire::read_submission(m.body);
+        if (auto* spec = std::get_if<core::JobSpec>(&read)) {
+            controller_.submit(now, request, *spec);
+        } else {
+            auto& invalid = std::get<wire::Invalid>(read);
+            controller_.invalid(now, request, invalid.uid, invalid.error);
+        }
+    } else if (path.compare(0, work.size() + 1, work + "/") == 0) {
+        std::string uid = path.substr(work.size() + 1);
+        const std::string tail = "/cancel";
+        bool cancel = uid.size() > tail.size() &&
+                      uid.compare(uid.size() - tail.size(), tail.size(), tail) == 0;
+        if (cancel) {
+            uid.resize(uid.size() - tail.size());
+        }
+        if (m.method != (cancel ? "POST" : "GET")) {
+            front_.reply(request, 405, "");
+        } else if (!wire::valid_uid(uid)) {
+            front_.reply(request, 404, "");  // nothing can have been accepted under such a name
+        } else if (cancel) {
+            controller_.cancel(now, request, uid);
+        } else {
+            controller_.poll(now, request, uid);
+        }
+    } else {
+        bool known = path == "/healthz" || path == "/hello" || path == work;
+        front_.reply(request, known ? 405 : 404, "");
+    }
+    act();
+}
+
+void Gateway::serve_back(std::uint64_t request, HttpMessage&& m) {
+    if (m.method != "POST" || m.target != "/peer") {
+        back_.reply(request, 404, "");
+        return;
+    }
+    auto message = wire::read_peer(m.body);
+    if (!message) {
+        back_.reply(request, 400, "");
+        return;
+    }
+    controller_.peer_word(loop_.now(), message->from, message->state_contact);
+    if (message->relay) {
+        controller_.report(loop_.now(), request, *message->relay, true);
+    } else {
+        back_.reply(request, 200, "");
+    }
+    act();
+}
+
+void Gateway::act() {
+    if (acting_) {
+        return;  // the outer call goes on until nothing is left
+    }
+    acting_ = true;
+    while (true) {
+        auto actions = controller_.take();
+        if (actions.empty()) {
+            break;
+        }
+        for (const auto& action : actions) {
+            std::visit([this](const auto& a) { act(a); }, action);
+        }
+    }
+    acting_ = false;
+}
+
+void Gateway::act(const core::UserReply& r) {
+    // With 503 the connection is closed: the load balancer then picks a node anew.
+    bool busy = r.status == 503;
+    front_.reply(r.request, r.status, wire::user_body(r), busy ? c::retry_after_s : 0, busy);
+}
+
+void Gateway::act(const core::WorkerReply& r) {
+    if (back_.knows(r.request)) {
+        back_.reply(r.request, 200, wire::peer_reply_body(r));
+    } else {
+        front_.reply(r.request, r.status, wire::worker_body(r));
+    }
+}
+
+void Gateway::act(const core::StateCall& call) { state_.call(call); }
+
+void Gateway::act(const core::CloudCall& call) { cloud_.call(call); }
+
+HttpClient& Gateway::worker(const std::string& address) {
+    auto& client = workers_[address];
+    if (!client) {
+        client = std::make_unique<HttpClient>(loop_, address, worker_connections, answer_max);
+    }
+    return *client;
+}
+
+void Gateway::act(const core::OrderCall& call) {
+    bool status = call.session == 0;
+    worker(call.address)
+        .request(status ? "GET" : "POST", status ? "/status" : "/orders",
+                 status ? "" : wire::orders_body(call), c::order_timeout_s,
+                 [this, id = call.id](const HttpMessage* m) {
+                     core::OrderReply reply;
+                     if (m != nullptr) {
+                         reply.answered = true;
+                         reply.executed = m->status == 200;
+                         auto value = wire::decode(m->body);
+                         if (value && value->is_object()) {
+                             reply.report = wire::read_report(*value);
+                         }
+                     }
+                     controller_.order_reply(loop_.now(), id, reply);
+                     act();
+                 });
+}
+
+void Gateway::act(const core::PeerCall& call) {
+    auto it = peers_.find(call.peer);
+    if (it == peers_.end()) {
+        controller_.peer_reply(loop_.now(), call.id, false, std::nullopt);
+        return;
+    }
+    it->second->request("POST", "/peer", wire::peer_body(settings_.name, call),
+                        call.relay ? c::relay_timeout_s : c::peer_beat_s,
+                        [this, id = call.id](const HttpMessage* m) {
+                            std::optional<core::WorkerReply> reply;
+                            if (m != nullptr && m->status == 200 && !m->body.empty()) {
+                                reply = wire::read_peer_reply(m->body);
+                            }
+                            controller_.peer_reply(loop_.now(), id, m != nullptr, reply);
+                            act();
+                        });
+}
+
+void Gateway::act(const core::LogLine& line) {
+    switch (line.level) {
+        case core::LogLine::Level::error:
+            spdlog::error("{}", line.text);
+            break;
+        case core::LogLine::Level::info:
+            spdlog::info("{}", line.text);
+            break;
+        case core::LogLine::Level::debug:
+            spdlog::debug("{}", line.text);
+            break;
+    }
+}
+
+void Gateway::prune() {
+    double t = loop_.now().steady;
+    for (auto it = workers_.begin(); it != workers_.end();) {
+        bool idle = t - it->second->last_used() > worker_idle_s;
+        it = idle ? workers_.erase(it) : std::next(it);
+    }
+}
+
+}  // namespace cranemoor::io
--- /dev/null
+++ b/src/io/http_server.cpp
@@ -0,0 +1,195 @@
+#include "io/http_server.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <stdexcept>
+#include <vector>
+
+namespace cranemoor::io {
+
+namespace {
+// s a connection may stay in the middle of a request: slow senders must not pile up
+constexpr double request_timeout_s = 10;
+// s a connection may stay idle between requests; users poll every 5 s, workers every 3 s
+constexpr double idle_timeout_s = 120;
+// s between looks for such connections
+constexpr double sweep_every_s = 2;
+// connections accepted in one go
+constexpr int accept_batch = 64;
+}  // namespace
+
+std::uint64_t HttpServer::next_request_ = 0;
+
+HttpServer::HttpServer(Loop& loop, const std::string& address, std::size_t connections_max,
+                       Handler handler)
+    : loop_(loop),
+      connections_max_(connections_max),
+      handler_(std::move(handler)),
+      sweeper_(loop, [this] { sweep(); }) {
+    int fd = listen_on(address);
+    if (fd < 0) {
+        throw std::runtime_error("cannot listen on " + address);
+    }
+    listener_ = std::make_unique<Descriptor>(loop_, fd, [this](int) { accept(); });
+    listener_->watch(EV_READ);
+    sweeper_.start(sweep_every_s, sweep_every_s);
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::accept() {
+    for (int i = 0; i < accept_batch; ++i) {
+        int fd = ::accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        if (connections_.size() >= connections_max_) {
+            ::close(fd);
+            continue;
+        }
+        int on = 1;
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        std::uint64_t id = ++next_connection_;
+        auto c = std::make_unique<Connection>();
+        c->descriptor =
+            std::make_unique<Descriptor>(loop_, fd, [this, id](int events) { ready(id, events); });
+        c->descriptor->watch(EV_READ);
+        c->active = loop_.now().steady;
+        connections_[id] = std::move(c);
+    }
+}
+
+void HttpServer::ready(std::uint64_t id, int events) {
+    auto it = connections_.find(id);
+    if (it == connections_.end()) {
+        return;
+    }
+    if ((events & EV_WRITE) != 0 && !write(id, *it->second)) {
+        return;
+    }
+    if ((events & EV_READ) != 0) {
+        read(id, *it->second);
+    }
+}
+
+void HttpServer::read(std::uint64_t id, Connection& c) {
+    std::array<char, 16384> chunk{};
+    ssize_t n = ::recv(c.descriptor->fd(), chunk.data(), chunk.size(), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n <= 0) {
+        close(id);
+        return;
+    }
+    c.active = loop_.now().steady;
+    if (c.closing) {
+        return;  // answered for good; what still comes is not read
+    }
+    process(id, c.parser.feed({chunk.data(), static_cast<std::size_t>(n)}));
+}
+
+void HttpServer::process(std::uint64_t id, HttpParser::State state) {
+    Connection& c = *connections_.at(id);
+    if (c.request != 0) {
+        return;  // the next request waits for this one's answer
+    }
+    switch (state) {
+        case HttpParser::State::more:
+            if (c.parser.wants_continue()) {
+                c.out += "HTTP/1.1 100 Continue\r\n\r\n";
+                write(id, c);
+            }
+            break;
+        case HttpParser::State::bad:
+        case HttpParser::State::too_large:
+            c.out += http_response(state == HttpParser::State::bad ? 400 : 413, "", false);
+            c.closing = true;
+            write(id, c);
+            break;
+        case HttpParser::State::complete: {
+            HttpMessage message = c.parser.take();
+            c.keep_alive = message.keep_alive;
+            c.request = ++next_request_;
+            requests_[c.request] = id;
+            handler_(c.request, std::move(message));
+            break;
+        }
+    }
+}
+
+void HttpServer::reply(std::uint64_t request, int status, const std::string& body,
+                       int retry_after_s, bool close) {
+    auto it = requests_.find(request);
+    if (it == requests_.end()) {
+        return;  // the asker has gone
+    }
+    std::uint64_t id = it->second;
+    requests_.erase(it);
+    auto found = connections_.find(id);
+    if (found == connections_.end()) {
+        return;
+    }
+    Connection& c = *found->second;
+    bool keep = c.keep_alive && !close;
+    c.out += http_response(status, body, keep, retry_after_s);
+    c.request = 0;
+    c.closing = !keep;
+    if (write(id, c) && keep) {
+        process(id, c.parser.feed({}));
+    }
+}
+
+bool HttpServer::write(std::uint64_t id, Connection& c) {
+    while (!c.out.empty()) {
+        ssize_t n = ::send(c.descriptor->fd(), c.out.data(), c.out.size(), MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+            break;
+        }
+        if (n <= 0) {
+            close(id);
+            return false;
+        }
+        c.out.erase(0, static_cast<std::size_t>(n));
+        c.active = loop_.now().steady;
+    }
+    if (c.out.empty() && c.closing) {
+        close(id);
+        return false;
+    }
+    c.descriptor->watch(c.out.empty() ? EV_READ : EV_READ | EV_WRITE);
+    return true;
+}
+
+void HttpServer::close(std::uint64_t id) {
+    auto it = connections_.find(id);
+    if (it == connections_.end()) {
+        return;
+    }
+    if (it->second->request != 0) {
+        requests_.erase(it->second->request);
+    }
+    connections_.erase(it);
+}
+
+void HttpServer::sweep() {
+    double t = loop_.now().steady;
+    std::vector<std::uint64_t> stale;
+    for (const auto& [id, c] : connections_) {
+        bool waiting_for_us = c->request != 0 && c->out.empty();
+        double limit = c->parser.idle() && c->out.empty() ? idle_timeout_s : request_timeout_s;
+        if (!waiting_for_us && t - c->active > limit) {
+            stale.push_back(id);
+        }
+    }
+    for (auto id : stale) {
+        close(id);
+    }
+}
+
+}  // namespace cranemoor::io
--- /dev/null
+++ b/src/io/state_client.cpp
@@ -0,0 +1,110 @@
+#include "io/state_client.hpp"
+
+#include "core/constants.hpp"
+#include "wire/messages.hpp"
+
+namespace cranemoor::io {
+
+namespace c = core::constants;
+
+namespace {
+// connections for calls: as many transactions may be under way at once
+constexpr std::size_t connections = 8;
+// bytes of an answer at the most; a watch's answer has no limit of its own
+constexpr std::size_t answer_max = 64U * 1024 * 1024;
+// s after which a call answered with 429 is sent again, and how often
+constexpr double again_s = 0.06;
+constexpr int again_max = 5;
+// watches that may be reopened in quick succession
+constexpr double watch_burst = 6;
+}  // namespace
+
+StateClient::StateClient(Loop& loop, const core::Settings& s, Done done)
+    : loop_(loop),
+      done_(std::move(done)),
+      calls_(loop, s.state_address, connections, answer_max),
+      watches_(loop, s.state_address, 1, answer_max),
+      requests_(s.state_rps * c::state_rate_share, s.state_rps * c::state_rate_share),
+      writes_(s.state_write_rps * c::state_write_share, s.state_write_rps * c::state_write_share),
+      reopened_(s.state_rps * c::watch_share, watch_burst),
+      timer_(loop, [this] { pump(); }) {}
+
+void StateClient::call(core::StateCall call) {
+    Waiting w;
+    w.deadline = loop_.now().steady + c::state_timeout_s;
+    if (call.kind == core::StateCall::Kind::watch) {
+        w.deadline = 1e18;  // waits for its budget as long as it must
+    }
+    w.call = std::move(call);
+    bool first = w.call.kind == core::StateCall::Kind::renew;
+    if (first) {
+        queue_.push_front(std::move(w));  // a lease must not end behind a queue
+    } else {
+        queue_.push_back(std::move(w));
+    }
+    pump();
+}
+
+void StateClient::pump() {
+    double t = loop_.now().steady;
+    double wait = 1e18;
+    for (std::size_t i = 0; i < queue_.size();) {
+        Waiting& w = queue_[i];
+        bool watch = w.call.kind == core::StateCall::Kind::watch;
+        auto writes = static_cast<double>(w.call.txn.writes.size());
+        if (w.deadline <= t) {
+            auto id = w.call.id;
+            queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+            core::StateReply refused;
+            refused.status = core::StateReply::Status::refused;  // never sent
+            done_(id, refused);
+            pump();
+            return;
+        }
+        RateBudget& budget = watch ? reopened_ : requests_;
+        bool go = t >= w.not_before && budget.has(t, 1) && (watch || writes_.has(t, writes));
+        if (!go) {
+            double after = std::max({w.not_before - t, budget.wait(t, 1),
+                                     watch ? 0.0 : writes_.wait(t, writes)});
+            wait = std::min({wait, after, w.deadline - t});
+            ++i;
+            continue;
+        }
+        budget.take(1);
+        if (!watch) {
+            writes_.take(writes);
+        }
+        Waiting out = std::move(w);
+        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+        send(std::move(out));
+    }
+    if (wait < 1e17) {
+        timer_.start(std::max(0.001, wait));
+    }
+}
+
+void StateClient::send(Waiting w) {
+    auto request = wire::state_request(w.call);
+    bool watch = w.call.kind == core::StateCall::Kind::watch;
+    HttpClient& client = watch ? watches_ : calls_;
+    double timeout = watch ? c::watch_hold_ms / 1000.0 + c::watch_grace_s : c::state_timeout_s;
+    client.request(request.method, request.target, request.body, timeout,
+                   [this, w](const HttpMessage* m) {
+                       if (m != nullptr && m->status == 429 && w.tries < again_max) {
+                           // Over the limit, which others share: not executed.
+                           Waiting again = w;
+                           again.tries++;
+                           again.not_before = loop_.now().steady + again_s * again.tries;
+                           queue_.push_back(std::move(again));
+                           pump();
+                           return;
+                       }
+                       core::StateReply reply;
+                       if (m != nullptr) {
+                           reply = wire::read_state_reply(w.call, m->status, m->body);
+                       }
+                       done_(w.call.id, reply);
+                   });
+}
+
+}  // namespace cranemoor::io
--- /dev/null
+++ b/src/io/state_client.hpp
@@ -0,0 +1,40 @@
+// Calls to the state service, within a budget below its limits.
+#pragma once
+
+#include <deque>
+#include <functional>
+
+#include "core/actions.hpp"
+#include "io/budget.hpp"
+#include "io/http_client.hpp"
+
+namespace cranemoor::io {
+
+class StateClient {
+  public:
+    using Done = std::function<void(std::uint64_t id, const core::StateReply&)>;
+    StateClient(Loop& loop, const core::Settings& settings, Done done);
+    void call(core::StateCall call);
+
+  private:
+    struct Waiting {
+        core::StateCall call;
+        double deadline = 0;
+        double not_before = 0;
+        int tries = 0;
+    };
+    void pump();
+    void send(Waiting w);
+
+    Loop& loop_;
+    Done done_;
+    HttpClient calls_;
+    HttpClient watches_;
+    RateBudget requests_;
+    RateBudget writes_;
+    RateBudget reopened_;
+    std::deque<Waiting> queue_;
+    Timer timer_;
+};
+
+}  // namespace cranemoor::io
