--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -327,7 +327,10 @@
                 if (!zone) {
                     break;
                 }
-                wanted[{type->name, *zone, spot}]++;
+                // One look's worth: what a larger job needs beyond it, the next looks see.
+                if (++wanted[{type->name, *zone, spot}] > constants::rental_max) {
+                    break;
+                }
                 load[*zone]++;
                 free.push_back({*zone, type->name, spot, true, type->size});
                 found = &free.back();
--- /dev/null
+++ b/tests/story_test.cpp
@@ -0,0 +1,727 @@
+// Short stories on the core: each sets up troubles that would break a rule without its guard.
+#include <gtest/gtest.h>
+
+#include <array>
+
+#include "world.hpp"
+
+namespace cranemoor::test {
+namespace {
+
+struct Story : ::testing::Test {
+    explicit Story(int nodes = 1) : w(nodes) {}
+    World w;
+    void begin(std::size_t nodes = 1) {
+        w.start_all();
+        ASSERT_TRUE(w.until([&] { return w.all_members(nodes); }, 10));
+        w.run(1);
+    }
+    void TearDown() override { EXPECT_EQ(w.broken, std::vector<std::string>()); }
+};
+
+struct Three : Story {
+    Three() : Story(3) {}
+};
+
+// --- users --------------------------------------------------------------------------------
+
+TEST_F(Story, AnAcceptedArrayIsRentedForRunsAndIsDone) {
+    begin();
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1, JobKind::array, 3)).status, 201);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 30));
+    w.run(1);
+    auto poll = w.poll_and_wait(0, "req-000001");
+    EXPECT_EQ(poll.status, 200);
+    EXPECT_EQ(poll.state, "running");
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    poll = w.poll_and_wait(0, "req-000001");
+    EXPECT_EQ(poll.state, "done");
+    EXPECT_EQ(poll.counts, std::make_pair(3, 0));
+}
+
+TEST_F(Story, ARetryIsAnswered200WithTheCurrentStateAlsoAfterTheEnd) {
+    begin();
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 200);
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    auto again = w.submit_and_wait(0, w.job(1));
+    EXPECT_EQ(again.status, 200);
+    EXPECT_EQ(again.state, "done");
+}
+
+TEST_F(Story, WhatCanNeverRunIsRefusedWith422) {
+    begin();
+    auto bad_team = w.job(1);
+    bad_team.team = "green";
+    EXPECT_EQ(w.submit_and_wait(0, bad_team).status, 422);
+    auto too_big = w.job(2);
+    too_big.each.gpus = 9;
+    EXPECT_EQ(w.submit_and_wait(0, too_big).status, 422);
+    auto gang = w.job(3, JobKind::gang, 17);  // the team's limit is 16 GPUs
+    gang.team = "red";
+    EXPECT_EQ(w.submit_and_wait(0, gang).status, 422);
+    auto array = w.job(4, JobKind::array, 17);  // an array needs only one task to fit
+    array.team = "red";
+    EXPECT_EQ(w.submit_and_wait(0, array).status, 201);
+}
+
+TEST_F(Story, AKnownJobIsNeverToldThatItIsMalformedOrImpossible) {
+    begin();
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);
+    auto changed = w.job(1);
+    changed.team = "green";
+    EXPECT_EQ(w.submit_and_wait(0, changed).status, 200);
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    // A fresh process has it in no memory: only the state service still knows it.
+    w.kill(0);
+    w.start(0);
+    ASSERT_TRUE(w.until([&] { return w.all_members(1); }, 10));
+    w.run(1);
+    EXPECT_EQ(w.submit_and_wait(0, changed).status, 200);
+}
+
+TEST_F(Story, AnUnknownJobIs404OnlyAfterAFreshRead) {
+    begin();
+    EXPECT_EQ(w.poll_and_wait(0, "req-000009").status, 404);
+    w.state_down = true;
+    w.run(0.2);
+    EXPECT_EQ(w.poll_and_wait(0, "req-000009").status, 503);
+}
+
+TEST_F(Story, WithoutMachineTypesASubmissionIsToldToComeBack) {
+    w.cloud_down = true;
+    w.start_all();
+    w.run(3);
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 503);
+    EXPECT_FALSE(w.node(0).healthy({w.now, 1.7e9 + w.now}));
+}
+
+TEST_F(Story, AnOutageOfTheStateServiceIsAnsweredAtOnceWith503) {
+    begin();
+    w.state_down = true;
+    w.run(2);
+    double before = w.now;
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 503);
+    EXPECT_LT(w.now - before, 0.2);
+}
+
+TEST_F(Three, APollSeesACancellationThatAnotherNodeHasJustConfirmed) {
+    begin(3);
+    ASSERT_EQ(w.submit_and_wait(0, w.job(1, JobKind::service)).status, 201);
+    for (int node = 0; node < 3; ++node) {
+        ASSERT_EQ(w.poll_and_wait(node, "req-000001").status, 200);
+    }
+    ASSERT_EQ(w.answer(w.cancel(1, "req-000001")).state, "cancelled");
+    // World also checks that no later answer is an older one (went_back).
+    EXPECT_EQ(w.poll_and_wait(0, "req-000001").state, "cancelled");
+    EXPECT_EQ(w.poll_and_wait(2, "req-000001").state, "cancelled");
+}
+
+TEST_F(Three, AnAcceptedJobOutlivesAllNodes) {
+    begin(3);
+    ASSERT_EQ(w.submit_and_wait(2, w.job(1)).status, 201);
+    for (int i = 0; i < 3; ++i) {
+        w.kill(i);
+    }
+    w.run(5);
+    w.start_all();
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 90));
+    EXPECT_EQ(w.poll_and_wait(0, "req-000001").state, "done");
+}
+
+TEST_F(Story, AHundredThousandTasksFitIntoRecordsOfTheAllowedSize) {
+    begin();
+    w.capacity = 2;
+    auto big = w.job(1, JobKind::array, 100000);
+    ASSERT_EQ(w.submit_and_wait(0, big).status, 201);
+    EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 16; }, 60));
+    EXPECT_EQ(w.answer(w.cancel(0, "req-000001")).state, "cancelled");
+    EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 0; }, 20));
+}
+
+// --- rule 1: epoch ------------------------------------------------------------------------
+
+TEST_F(Three, ARestartedProcessJoinsAsANewMemberInANewEpoch) {
+    begin(3);
+    Epoch before = *w.node(0).context().jobs.epoch();
+    w.kill(1);
+    w.start(1);
+    ASSERT_TRUE(w.until(
+        [&] { return w.node(0).context().jobs.epoch()->number > before.number; }, 10));
+    ASSERT_TRUE(w.until([&] { return w.all_members(3); }, 10));
+    const Epoch& after = *w.node(0).context().jobs.epoch();
+    EXPECT_NE(after.find("n1")->id, before.find("n1")->id);
+    EXPECT_EQ(after.find("n0")->id, before.find("n0")->id);
+}
+
+TEST_F(Three, EveryTransactionOfWorkIsConditionalOnTheEpoch) {
+    begin(3);
+    w.submit_and_wait(0, w.job(1, JobKind::array, 2));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 2; }, 30));
+    // The epoch moves on: whatever was under way under the old one must die.
+    w.late_txn = 1;
+    w.submit(0, w.job(2));
+    w.late_txn = 0;
+    w.kill(2);
+    ASSERT_TRUE(w.until([&] { return w.all_members(2); }, 10));
+    w.run(4);
+    EXPECT_EQ(w.stored("c/j/req-000002"), nullptr);
+    ASSERT_FALSE(w.refused_txns.empty());
+}
+
+TEST_F(Three, ADeadMemberIsRemovedAndItsMachinesAreAdopted) {
+    begin(3);
+    w.submit_and_wait(0, w.job(1, JobKind::service, 3));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 30));
+    auto places = w.places("req-000001");
+    const Member* owner = nullptr;
+    for (int i = 0; i < 3; ++i) {
+        if (w.node(i).fleet().machines()[places[0]].adopted) {
+            owner = w.node(i).context().jobs.epoch()->find("n" + std::to_string(i));
+        }
+    }
+    ASSERT_NE(owner, nullptr);
+    int dead = std::stoi(owner->name.substr(1));
+    w.kill(dead);
+    int adopted = 0;
+    ASSERT_TRUE(w.until(
+        [&] {
+            adopted = 0;
+            for (int i = 0; i < 3; ++i) {
+                adopted += i != dead && w.node(i).fleet().machines()[places[0]].adopted ? 1 : 0;
+            }
+            return adopted == 1;
+        },
+        15));
+    EXPECT_EQ(w.running("req-000001"), 3);  // nothing was restarted for it
+}
+
+// --- rule 2: owner and adoption -----------------------------------------------------------
+
+Report bare_report(const std::string& name, const std::string& zone, Token token,
+                   std::uint64_t seq) {
+    return {name, name, "t8", zone, false, 1, seq, token, std::nullopt, {}};
+}
+
+TEST_F(Story, NothingIsStartedBeforeAReportCarriesOurToken) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    auto first = w.report(0, bare_report("vm-100000", "a", 0, 1));
+    EXPECT_EQ(first.status, 200);
+    EXPECT_TRUE(first.commands.empty());
+    auto second = w.report(0, bare_report("vm-100000", "a", first.token, 2));
+    ASSERT_EQ(second.commands.size(), 1U);
+    EXPECT_EQ(second.commands[0].kind, Command::Kind::start);
+}
+
+TEST_F(Story, AHigherTokenThanOursGets421WithoutHome) {
+    begin();
+    auto reply = w.report(0, bare_report("vm-100000", "a", 999, 1));
+    EXPECT_EQ(reply.status, 421);
+    EXPECT_EQ(reply.home, "");
+}
+
+TEST_F(Three, AnothersMachineIsSentHomeAndRelayedIfItComesBack) {
+    begin(3);
+    auto sent = w.report(1, bare_report("vm-100000", "a", 0, 1));
+    EXPECT_EQ(sent.status, 421);
+    EXPECT_EQ(sent.home, "n0");  // of its own zone
+    // It is back: its owner can't be reached from there.
+    auto relayed = w.report(1, bare_report("vm-100000", "a", 0, 2));
+    EXPECT_EQ(relayed.status, 200);
+    EXPECT_EQ(relayed.token, w.node(0).context().token);
+}
+
+TEST_F(Three, MachinesWhoseOwnerIsCutOffFromThemKeepTheirLeases) {
+    begin(3);
+    w.submit_and_wait(0, w.job(1, JobKind::service, 3));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 30));
+    auto before = w.places("req-000001");
+    w.workers_cut.insert(0);
+    w.run(40);
+    EXPECT_EQ(w.places("req-000001"), before);
+    for (const auto& name : before) {
+        EXPECT_EQ(w.machines[name].session, 1U);
+    }
+}
+
+TEST_F(Story, ANodeThatIsNoMemberAnswersWorkersWith503) {
+    w.state_down = true;
+    w.start_all();
+    w.run(1);
+    EXPECT_EQ(w.report(0, bare_report("vm-100000", "a", 0, 1)).status, 503);
+}
+
+// --- rule 3: claim before start -----------------------------------------------------------
+
+TEST_F(Story, TheClaimIsDurableWhenItsStartGoesOut) {
+    begin();
+    int starts = 0;
+    w.on_command = [&](const std::string& machine, const Command& c) {
+        if (c.kind == Command::Kind::start) {
+            const Json* block = w.stored("c/b/" + c.id.uid + "/0");
+            ASSERT_NE(block, nullptr);
+            EXPECT_EQ(block->at("placed").at(std::to_string(c.id.index)).at(0), machine);
+            ++starts;
+        }
+    };
+    w.submit_and_wait(0, w.job(1, JobKind::array, 5));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 5; }, 30));
+    EXPECT_GE(starts, 5);
+}
+
+TEST_F(Story, AnOlderReportIsIgnored) {
+    begin();
+    auto token = w.report(0, bare_report("vm-100000", "a", 0, 5)).token;
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    auto old = w.report(0, bare_report("vm-100000", "a", token, 4));
+    EXPECT_TRUE(old.commands.empty());
+    EXPECT_FALSE(w.node(0).fleet().machines()["vm-100000"].adopted);
+}
+
+TEST_F(Story, AClaimWhoseAnswerWasLostIsNeitherLostNorDoubled) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service, 4));
+    w.lost_answers = 0.5;
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 4; }, 120));
+    w.lost_answers = 0;
+    w.run(20);
+    EXPECT_EQ(w.running("req-000001"), 4);
+}
+
+// --- rule 4: restart only on proof --------------------------------------------------------
+
+TEST_F(Story, AHangingMachineIsReleasedBeforeItsTaskRunsElsewhere) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    std::string first = w.places("req-000001")[0];
+    w.machines[first].hangs = true;
+    ASSERT_TRUE(w.until([&] { return w.machines[first].deleted; }, 40));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 40));
+}
+
+TEST_F(Story, WhileTheCloudIsDownASilentMachinesTaskWaits) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    std::string first = w.places("req-000001")[0];
+    w.add_machine("vm-900000", "a");
+    w.run(3);
+    w.machines[first].zone_cut = true;
+    w.cloud_down = true;
+    w.run(20);  // its lease still holds: World would see the task run twice
+    EXPECT_EQ(w.places("req-000001"), std::vector<std::string>{first});
+    w.cloud_down = false;
+    EXPECT_TRUE(w.until([&] { return w.places("req-000001") ==
+                                     std::vector<std::string>{"vm-900000"}; }, 40));
+}
+
+TEST_F(Story, ALaterSessionProvesThatTheTasksAreGone) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    FakeMachine& m = w.machines[w.places("req-000001")[0]];
+    m.tasks.clear();
+    m.session++;
+    EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 20));
+}
+
+TEST_F(Story, ADirectAnswerWithoutTheTaskIsNoProofWhileItsStartMayBeInFlight) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    auto token = w.report(0, bare_report("vm-100000", "a", 0, 1)).token;
+    auto reply = w.report(0, bare_report("vm-100000", "a", token, 2));
+    ASSERT_EQ(reply.commands.size(), 1U);
+    // Cancelled while the start is under way; only the next report settles it.
+    w.answer(w.cancel(0, "req-000001"));
+    w.run(1);
+    EXPECT_NE(w.stored("c/b/req-000001/0"), nullptr);
+    auto late = bare_report("vm-100000", "a", token, 9);
+    late.tasks.push_back({{"req-000001", 0}, reply.commands[0].attempt, TaskState::running,
+                          ExitReason::none, false});
+    auto stop = w.report(0, late);
+    ASSERT_EQ(stop.commands.size(), 1U);
+    EXPECT_EQ(stop.commands[0].kind, Command::Kind::stop);
+    w.report(0, bare_report("vm-100000", "a", token, 10));
+    EXPECT_TRUE(w.until([&] { return w.stored("c/b/req-000001/0") == nullptr; }, 5));
+}
+
+// --- rule 5: durable before told ----------------------------------------------------------
+
+TEST_F(Story, ForgetFollowsTheDurableRecord) {
+    begin();
+    bool checked = false;
+    w.on_command = [&](const std::string&, const Command& c) {
+        if (c.kind == Command::Kind::forget) {
+            EXPECT_NE(w.stored("f/" + c.id.uid), nullptr);
+            checked = true;
+        }
+    };
+    w.submit_and_wait(0, w.job(1));
+    EXPECT_TRUE(w.until([&] { return checked; }, 90));
+}
+
+TEST_F(Story, ASubmissionWhoseWriteMayYetBeExecutedIsNotAnswered201) {
+    begin();
+    w.late_txn = 1;
+    auto request = w.submit(0, w.job(1));
+    auto reply = w.answer(request);
+    EXPECT_EQ(reply.status, 503);
+    w.late_txn = 0;
+    EXPECT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 90));
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 200);
+}
+
+// --- rule 6: quota ------------------------------------------------------------------------
+
+TEST_F(Three, ATeamsLimitHoldsAcrossMembersAndTakeOvers) {
+    begin(3);
+    for (int i = 0; i < 6; ++i) {
+        auto job = w.job(i + 1, JobKind::service, 6);  // 36 GPUs wanted, 16 allowed
+        job.team = "red";
+        w.submit_and_wait(i % 3, job);
+    }
+    auto total = [&] {
+        int n = 0;
+        for (int i = 0; i < 6; ++i) {
+            n += w.running("req-00000" + std::to_string(i + 1));
+        }
+        return n;
+    };
+    ASSERT_TRUE(w.until([&] { return total() == 16; }, 60));
+    w.kill(0);
+    w.run(8);
+    w.start(0);
+    w.run(20);
+    EXPECT_EQ(total(), 16);  // World checks quota at every start
+    // A place that ends is used again, whoever holds the slice.
+    for (int i = 0; i < 3; ++i) {
+        w.answer(w.cancel(1, "req-00000" + std::to_string(i + 1)));
+    }
+    EXPECT_TRUE(w.until([&] { return total() == 16; }, 60));
+    const Json* slices = w.stored("c/q/red");
+    ASSERT_NE(slices, nullptr);
+    double sum = 0;
+    for (const auto& [id, r] : slices->at("held").items()) {
+        sum += r.at(1).get<double>();
+    }
+    EXPECT_LE(sum, 16.0);
+}
+
+// --- rule 7: placement --------------------------------------------------------------------
+
+TEST_F(Three, SpreadTogetherAndZoneAreKept) {
+    begin(3);
+    auto spread = w.job(1, JobKind::service, 5);
+    spread.spread = true;
+    auto together = w.job(2, JobKind::array, 5);
+    together.together = true;
+    auto zoned = w.job(3, JobKind::service, 2);
+    zoned.zone = "c";
+    w.submit_and_wait(0, spread);
+    w.submit_and_wait(1, together);
+    w.submit_and_wait(2, zoned);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 5; }, 60));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000003") == 2; }, 60));
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000002") != nullptr; }, 90));
+    for (const auto& name : w.places("req-000003")) {
+        EXPECT_EQ(w.machines[name].info.zone, "c");
+    }
+}
+
+TEST_F(Story, OnlyJobsThatAllowItRunOnSpotMachines) {
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a", true);
+    auto strict = w.job(1, JobKind::service);
+    auto cheap = w.job(2, JobKind::service);
+    cheap.spot = true;
+    w.submit_and_wait(0, strict);
+    w.submit_and_wait(0, cheap);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000002") == 1; }, 30));
+    w.run(10);
+    EXPECT_EQ(w.running("req-000001"), 0);
+}
+
+TEST_F(Story, AMachineMarkedForReturnGetsNothingNew) {
+    begin();
+    w.add_machine("vm-500000", "a");
+    ASSERT_TRUE(w.until([&] { return w.node(0).fleet().machines()["vm-500000"].adopted; }, 20));
+    w.capacity = 0;
+    w.store("c/x/vm-500000", {{"why", "idle"}, {"fence", false}, {"gone", false}});
+    w.submit_and_wait(0, w.job(1));
+    EXPECT_TRUE(w.until([&] { return w.machines["vm-500000"].deleted; }, 10));
+    EXPECT_EQ(w.running("req-000001"), 0);
+}
+
+// --- rule 8: cancel -----------------------------------------------------------------------
+
+TEST_F(Story, ACancelledTaskBehindACutIsReleasedInTime) {
+    begin();
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    std::string place = w.places("req-000001")[0];
+    w.machines[place].zone_cut = true;
+    EXPECT_EQ(w.answer(w.cancel(0, "req-000001")).state, "cancelled");
+    EXPECT_TRUE(w.until([&] { return w.machines[place].deleted; }, w.settings.cancel_s));
+}
+
+TEST_F(Three, ANodeRefusedByTheStateServiceAloneStopsAnsweringItsWorkers) {
+    begin(3);
+    w.submit_and_wait(0, w.job(1, JobKind::service, 3));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 30));
+    w.state_refused.insert(0);
+    w.run(8);
+    EXPECT_FALSE(w.node(0).healthy({w.now, 1.7e9 + w.now}));
+    auto reply = w.report(0, bare_report("vm-100000", "a", 0, 1));
+    EXPECT_EQ(reply.status, 503);
+    EXPECT_EQ(w.answer(w.cancel(1, "req-000001")).state, "cancelled");
+    EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 0; }, 30));
+}
+
+TEST_F(Three, DuringACommonOutageWorkersAreStillAnswered) {
+    begin(3);
+    w.submit_and_wait(0, w.job(1, JobKind::service, 3));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 30));
+    auto before = w.places("req-000001");
+    w.state_down = true;
+    w.run(60);  // longer than the workers' leases
+    EXPECT_EQ(w.places("req-000001"), before);
+    w.state_down = false;
+    w.run(5);
+    EXPECT_TRUE(w.all_members(3));
+}
+
+// --- scheduling ---------------------------------------------------------------------------
+
+TEST_F(Story, AJobWaitsForAMachineWithItsImageThenRunsAnywhere) {
+    begin();
+    w.capacity = 0;
+    auto busy = w.job(1, JobKind::service, 8);  // fills the machine that has the image
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, busy);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 8; }, 30));
+    w.add_machine("vm-500001", "a");
+    ASSERT_TRUE(w.until([&] { return w.node(0).fleet().machines()["vm-500001"].adopted; }, 20));
+    double claimed = 0;
+    w.on_command = [&](const std::string& m, const Command& c) {
+        if (c.kind == Command::Kind::start && m == "vm-500001" && claimed == 0) {
+            claimed = w.now;
+        }
+    };
+    w.submit_and_wait(0, w.job(2, JobKind::service));
+    double submitted = w.now;
+    ASSERT_TRUE(w.until([&] { return claimed > 0; }, 30));
+    EXPECT_GE(claimed - submitted, Tunables().locality_wait_s - 0.1);
+}
+
+TEST_F(Story, ALocalTaskIsLaunchedWithoutWaiting) {
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    w.submit_and_wait(0, w.job(2, JobKind::service));
+    EXPECT_TRUE(w.until([&] { return w.running("req-000002") == 1; }, 4.5));
+}
+
+TEST_F(Story, TeamsBelowTheirGuaranteeGoFirstTheFurthestFirst) {
+    begin();
+    w.capacity = 0;
+    auto used = w.job(1, JobKind::service, 4);  // blue has half of its 8
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, used);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 4; }, 30));
+    w.machines["vm-500000"].next_report = w.now + 3;
+    auto blue = w.job(2, JobKind::service, 4);
+    blue.priority = Priority::production;
+    auto red = w.job(3, JobKind::service, 4);
+    red.team = "red";
+    w.submit(0, blue);
+    w.submit(0, red);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000002") + w.running("req-000003") == 4; }, 30));
+    EXPECT_EQ(w.running("req-000003"), 4);
+}
+
+TEST_F(Three, AGangStartsWholeAlsoOnMachinesOfSeveralMembers) {
+    begin(3);
+    auto gang = w.job(1, JobKind::gang, 3);
+    gang.each = {60, 8, 400};
+    gang.spread = true;
+    w.submit_and_wait(0, gang);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 60));
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+}
+
+TEST_F(Three, AGangThatLosesATaskIsStoppedAndStartedAgainWhole) {
+    w.run_s = 60;
+    begin(3);
+    auto gang = w.job(1, JobKind::gang, 3);
+    gang.each = {60, 8, 400};
+    w.submit_and_wait(0, gang);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 3; }, 60));
+    w.machines[w.places("req-000001")[1]].hangs = true;
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 240));
+}
+
+TEST_F(Story, AMachineThatFailsEveryTaskIsSetAsideAndReturned) {
+    begin();
+    w.add_machine("vm-000000", "a").fails_tasks = true;
+    ASSERT_TRUE(w.until([&] { return w.node(0).fleet().machines()["vm-000000"].adopted; }, 20));
+    for (int i = 1; i <= 6; ++i) {
+        w.submit_and_wait(0, w.job(i));
+    }
+    EXPECT_TRUE(w.until([&] { return w.machines["vm-000000"].deleted; }, 60));
+    for (int i = 1; i <= 6; ++i) {
+        EXPECT_TRUE(w.until([&] { return w.stored("f/req-00000" + std::to_string(i)); }, 120));
+    }
+}
+
+TEST_F(Story, ASpotMachineUnderNoticeGetsNothingNew) {
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a", true).notice_s = 20;
+    auto job = w.job(1, JobKind::service);
+    job.spot = true;
+    w.submit_and_wait(0, job);
+    w.run(10);
+    EXPECT_EQ(w.running("req-000001"), 0);
+}
+
+// --- cloud --------------------------------------------------------------------------------
+
+TEST_F(Story, ARentalWithoutAnswerIsRepeatedUnderItsOwnName) {
+    begin();
+    w.cloud_down = true;
+    w.submit_and_wait(0, w.job(1));
+    w.run(6);
+    w.cloud_down = false;
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    EXPECT_EQ(w.rentals, 1);
+}
+
+TEST_F(Story, IdleMachinesAreReturnedAfterTheirMark) {
+    begin();
+    w.submit_and_wait(0, w.job(1));
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    EXPECT_TRUE(w.until([&] { return w.machines_up() == 0; }, 120));
+}
+
+TEST_F(Story, AMachineNobodyAskedForIsUsedOrReturned) {
+    begin();
+    w.add_machine("vm-777777", "b");
+    EXPECT_TRUE(w.until([&] { return w.machines["vm-777777"].deleted; }, 120));
+}
+
+// --- everything at once -------------------------------------------------------------------
+
+class Random : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Random, RulesHoldWhileNodesMessagesAndMachinesFail) {
+    World w(3, GetParam());
+    std::mt19937 random(GetParam() * 7919);
+    auto pick = [&](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
+    w.run_s = 15;
+    w.start_all();
+    w.lost_answers = 0.03;
+    w.late_txn = 0.03;
+    w.slow = 0.02;
+    std::vector<std::string> jobs;
+    for (int step = 0; step < 120; ++step) {
+        int node = pick(3);
+        switch (pick(12)) {
+            case 0:
+                if (w.alive(node)) {
+                    w.kill(node);
+                }
+                break;
+            case 1:
+                w.state_down = pick(3) == 0;
+                break;
+            case 2:
+                w.cloud_down = pick(3) == 0;
+                break;
+            case 3:
+                w.state_refused = pick(2) == 0 ? std::set<int>{node} : std::set<int>{};
+                break;
+            case 4:
+                w.workers_cut = pick(2) == 0 ? std::set<int>{node} : std::set<int>{};
+                break;
+            case 5:
+                w.peers_cut.clear();
+                if (pick(2) == 0) {
+                    w.peers_cut.insert({0, 1 + pick(2)});
+                }
+                break;
+            case 6:
+                for (auto& [name, m] : w.machines) {
+                    m.hangs = !m.deleted && pick(12) == 0;
+                    m.zone_cut = !m.deleted && pick(12) == 0;
+                }
+                break;
+            case 7:
+                if (!jobs.empty() && w.alive(node)) {
+                    w.cancel(node, jobs[static_cast<std::size_t>(pick(static_cast<int>(jobs.size())))]);
+                }
+                break;
+            default: {
+                if (!w.alive(node)) {
+                    break;
+                }
+                auto kind = std::array{JobKind::array, JobKind::gang, JobKind::service}[
+                    static_cast<std::size_t>(pick(3))];
+                auto spec = w.job(step + 1, kind, 1 + pick(4));
+                spec.team = pick(2) == 0 ? "red" : "blue";
+                spec.spread = pick(3) == 0;
+                spec.together = !spec.spread && pick(3) == 0;
+                spec.spot = pick(3) == 0;
+                spec.image = "img-0" + std::to_string(pick(3));
+                w.submit(node, spec);
+                jobs.push_back(spec.uid);
+            }
+        }
+        for (int i = 0; i < 3; ++i) {
+            if (!w.alive(i) && pick(4) == 0) {
+                w.start(i);
+            }
+            if (w.alive(i) && !jobs.empty()) {
+                w.poll(i, jobs[static_cast<std::size_t>(pick(static_cast<int>(jobs.size())))]);
+            }
+        }
+        w.run(1 + pick(4));
+        ASSERT_EQ(w.broken, std::vector<std::string>()) << "step " << step;
+    }
+    // When the troubles end, whatever can end does.
+    w.state_down = w.cloud_down = false;
+    w.state_refused.clear();
+    w.workers_cut.clear();
+    w.peers_cut.clear();
+    w.lost_answers = w.late_txn = w.slow = 0;
+    for (auto& [name, m] : w.machines) {
+        m.hangs = m.zone_cut = false;
+    }
+    for (int i = 0; i < 3; ++i) {
+        if (!w.alive(i)) {
+            w.start(i);
+        }
+    }
+    w.run(60);
+    EXPECT_TRUE(w.all_members(3));
+    for (const auto& uid : jobs) {
+        if (w.stored("c/j/" + uid) != nullptr) {
+            w.answer(w.cancel(0, uid));
+        }
+    }
+    w.run(60);
+    EXPECT_EQ(w.broken, std::vector<std::string>());
+    for (const auto& uid : jobs) {
+        EXPECT_EQ(w.stored("c/j/" + uid), nullptr) << uid;
+        EXPECT_EQ(w.stored("c/b/" + uid + "/0"), nullptr) << uid;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Random, ::testing::Range(1U, 41U));
+
+}  // namespace
+}  // namespace cranemoor::test
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,862 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::test {
+
+namespace {
+constexpr double tick_s = 0.05;
+MachineType type8() { return {"t8", {64, 8, 512}, 100, 1, 10, 3, 5, {"a", "b", "c"}}; }
+bool present(const FakeTask& t) {
+    return t.state != TaskState::exited && t.state != TaskState::fetching;
+}
+}  // namespace
+
+World::World(int nodes, unsigned seed) : random_(seed) {
+    settings.zones = {"a", "b", "c"};
+    settings.clock_off_s = 0.25;
+    settings.teams = {{"red", {0, 8, 0}, {0, 16, 0}}, {"blue", {0, 8, 0}, {0, 0, 0}}};
+    settings.report_s = 3;
+    settings.lease_s = 24;
+    settings.gang_wait_s = 30;
+    settings.gang_peer_s = 4;
+    settings.cancel_s = 44;
+    settings.state_rps = 200;
+    settings.state_write_rps = 50;
+    settings.state_value_kb = 8;
+    settings.state_txn_ops = 12;
+    settings.cloud_rps = 5;
+    nodes_.resize(static_cast<std::size_t>(nodes));
+}
+
+void World::after(double s, std::function<void()> what) {
+    queue_.push({now + s, ++order_, std::move(what)});
+}
+
+bool World::chance(double p) {
+    return p > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < p;
+}
+
+double World::delay() {
+    double d = std::uniform_real_distribution<double>(0.001, 0.008)(random_);
+    return chance(slow) ? d + std::uniform_real_distribution<double>(0.2, 6)(random_) : d;
+}
+
+void World::start_all() {
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+        start(i);
+    }
+}
+
+void World::start(int i) {
+    Settings s = settings;
+    s.name = "n" + std::to_string(i);
+    s.zone = settings.zones[static_cast<std::size_t>(i) % settings.zones.size()];
+    for (int k = 0; k < static_cast<int>(nodes_.size()); ++k) {
+        if (k != i) {
+            s.peers.push_back({"n" + std::to_string(k),
+                               settings.zones[static_cast<std::size_t>(k) % settings.zones.size()],
+                               ""});
+        }
+    }
+    Node& n = nodes_[static_cast<std::size_t>(i)];
+    n.generation++;
+    Tunables tunables;
+    tunables.headroom_machines = 0;
+    n.core = std::make_unique<Controller>(s, tunables,
+                                          fmt::format("boot{}-{}", i, n.generation));
+    n.core->start(time());
+    drain(i);
+}
+
+void World::kill(int i) {
+    nodes_[static_cast<std::size_t>(i)].core.reset();
+    std::erase_if(watches_, [&](const Watch& w) { return w.node == i; });
+}
+
+void World::to_node(int i, int generation, std::function<void(Controller&)> f) {
+    Node& n = nodes_[static_cast<std::size_t>(i)];
+    if (n.core && n.generation == generation) {
+        f(*n.core);
+        drain(i);
+    }
+}
+
+void World::drain(int i) {
+    auto& core = nodes_[static_cast<std::size_t>(i)].core;
+    while (core) {
+        auto actions = core->take();
+        if (actions.empty()) {
+            return;
+        }
+        for (const auto& action : actions) {
+            if (auto* s = std::get_if<StateCall>(&action)) {
+                act(i, *s);
+            } else if (auto* c = std::get_if<CloudCall>(&action)) {
+                act(i, *c);
+            } else if (auto* o = std::get_if<OrderCall>(&action)) {
+                act(i, *o);
+            } else if (auto* p = std::get_if<PeerCall>(&action)) {
+                act(i, *p);
+            } else if (auto* w = std::get_if<WorkerReply>(&action)) {
+                act(i, *w);
+            } else if (auto* u = std::get_if<UserReply>(&action)) {
+                replies_[u->request] = *u;
+                if (u->state == "done") {
+                    told_done_.insert(u->uid);
+                    auto spec = specs_.find(u->uid);
+                    if (spec == specs_.end() ||
+                        static_cast<int>(done_tasks_[u->uid].size()) < spec->second.tasks) {
+                        broken.push_back("not_done: " + u->uid);
+                    }
+                    if (known_cancelled_.count(u->request) != 0) {
+                        broken.push_back("went_back: " + u->uid);
+                    }
+                } else if (u->state == "cancelled") {
+                    cancelled_.try_emplace(u->uid, now);
+                    if (known_done_.count(u->request) != 0) {
+                        broken.push_back("went_back: " + u->uid);
+                    }
+                } else if (!u->state.empty() && (known_cancelled_.count(u->request) != 0 ||
+                                                 known_done_.count(u->request) != 0)) {
+                    broken.push_back("went_back: " + u->uid);
+                }
+                if (u->status == 200 || u->status == 201) {
+                    accepted_.insert(u->uid);
+                    if (specs_.count(u->uid) == 0) {
+                        broken.push_back("invented: " + u->uid);
+                    }
+                } else if ((u->status == 404 || u->status == 400 || u->status == 422) &&
+                           known_.count(u->request) != 0) {
+                    broken.push_back("forgotten: " + u->uid);
+                }
+            } else if (auto* l = std::get_if<LogLine>(&action)) {
+                log.push_back(fmt::format("{:.3f} n{} {}", now, i, l->text));
+            }
+        }
+    }
+}
+
+// --- state service
+
+const Json* World::stored(const std::string& key) const {
+    auto it = kv_.find(key);
+    return it == kv_.end() ? nullptr : &it->second.value;
+}
+
+void World::store(const std::string& key, const Json& value) {
+    ++tide_;
+    kv_[key] = {value, tide_, 0};
+    changed(key, value);
+}
+
+void World::drop(const std::string& key) {
+    if (kv_.erase(key) != 0) {
+        ++tide_;
+        changed(key, std::nullopt);
+    }
+}
+
+void World::changed(const std::string& key, const std::optional<Json>& value) {
+    events_.push_back({key, value, tide_});
+}
+
+StateReply World::execute(const StateCall& call) {
+    StateReply r;
+    r.status = StateReply::Status::ok;
+    switch (call.kind) {
+        case StateCall::Kind::grant:
+            r.lease = ++next_lease_;
+            leases_[r.lease] = now + constants::member_lease_ms / 1000.0;
+            return r;
+        case StateCall::Kind::renew:
+            if (leases_.count(call.lease) == 0) {
+                r.status = StateReply::Status::not_found;
+            } else {
+                leases_[call.lease] = now + constants::member_lease_ms / 1000.0;
+            }
+            return r;
+        case StateCall::Kind::get: {
+            auto it = kv_.find(call.key);
+            r.revision = tide_;
+            if (it == kv_.end()) {
+                r.status = StateReply::Status::not_found;
+            } else {
+                r.value = it->second.value;
+            }
+            return r;
+        }
+        case StateCall::Kind::list: {
+            r.revision = tide_;
+            for (auto it = kv_.upper_bound(std::max(call.key, call.after)); it != kv_.end(); ++it) {
+                if (it->first.compare(0, call.key.size(), call.key) != 0) {
+                    break;
+                }
+                if (r.events.size() == 20) {  // small pages, so that stories see several
+                    r.more = true;
+                    break;
+                }
+                r.events.push_back({it->first, it->second.value, it->second.revision});
+            }
+            return r;
+        }
+        default:
+            break;
+    }
+    ++transactions;
+    if (call.txn.writes.size() > static_cast<std::size_t>(settings.state_txn_ops) ||
+        call.txn.conditions.size() > 4 * static_cast<std::size_t>(settings.state_txn_ops)) {
+        broken.push_back("transaction too large");
+        r.status = StateReply::Status::bad;
+        return r;
+    }
+    for (const auto& w : call.txn.writes) {
+        if (w.value && w.value->dump().size() > settings.state_value_kb * 1024) {
+            broken.push_back("value too large: " + w.key);
+        }
+        if (w.lease != 0 && leases_.count(w.lease) == 0) {
+            r.status = StateReply::Status::bad;
+            return r;
+        }
+    }
+    for (const auto& c : call.txn.conditions) {
+        auto it = kv_.find(c.key);
+        if ((it == kv_.end() ? 0 : it->second.revision) != c.revision) {
+            r.failed.push_back(c.key);
+        }
+    }
+    if (!r.failed.empty()) {
+        r.status = StateReply::Status::conflict;
+        r.revision = tide_;
+        refused_txns.push_back(call.txn);
+        return r;
+    }
+    if (!call.txn.writes.empty()) {
+        ++tide_;
+    }
+    for (const auto& w : call.txn.writes) {
+        if (w.value) {
+            kv_[w.key] = {*w.value, tide_, w.lease};
+        } else {
+            kv_.erase(w.key);
+        }
+        changed(w.key, w.value);
+    }
+    r.revision = tide_;
+    return r;
+}
+
+void World::act(int i, const StateCall& call) {
+    int generation = nodes_[static_cast<std::size_t>(i)].generation;
+    if (call.kind == StateCall::Kind::watch) {
+        watches_.push_back({i, generation, call.id, call.since, now + 8});
+        return;
+    }
+    bool late = call.kind == StateCall::Kind::txn && chance(late_txn);
+    bool lost = late || chance(lost_answers);
+    after(late ? 3 + delay() * 100 : delay(), [=, this] {
+        StateReply reply;
+        if (state_down || state_refused.count(i) != 0) {
+            reply.status = StateReply::Status::refused;
+        } else {
+            reply = execute(call);
+        }
+        if (!lost) {
+            after(delay(), [=, this] {
+                to_node(i, generation, [&](Controller& c) { c.state_reply(time(), call.id, reply); });
+            });
+        }
+    });
+    if (lost) {
+        after(2, [=, this] {
+            to_node(i, generation,
+                    [&](Controller& c) { c.state_reply(time(), call.id, StateReply{}); });
+        });
+    }
+}
+
+void World::serve_watches() {
+    if (state_down) {
+        return;
+    }
+    auto open = std::exchange(watches_, {});
+    for (const auto& w : open) {
+        std::vector<Event> news;
+        for (const auto& e : events_) {
+            if (e.revision > w.since && e.key.compare(0, 2, "c/") == 0) {
+                news.push_back(e);
+            }
+        }
+        if (state_refused.count(w.node) != 0 || (news.empty() && now < w.until)) {
+            watches_.push_back(w);
+            continue;
+        }
+        StateReply r;
+        r.status = StateReply::Status::ok;
+        r.revision = tide_;
+        r.events = std::move(news);
+        after(delay(), [this, w, r] {
+            to_node(w.node, w.generation, [&](Controller& c) { c.state_reply(time(), w.id, r); });
+        });
+    }
+}
+
+void World::expire_leases() {
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (state_down) {
+            it->second = now + constants::member_lease_ms / 1000.0;
+        }
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto& [key, s] : kv_) {
+            if (s.lease == it->first) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto& key : keys) {
+            drop(key);
+        }
+        it = leases_.erase(it);
+    }
+}
+
+// --- cloud
+
+CloudReply World::cloud(const CloudCall& call) {
+    CloudReply r;
+    r.status = CloudReply::Status::ok;
+    switch (call.kind) {
+        case CloudCall::Kind::types:
+            r.types = {type8()};
+            break;
+        case CloudCall::Kind::list:
+            for (auto& [name, m] : machines) {
+                if (!m.deleted && name > call.after) {
+                    m.info.state = now >= m.up_at ? ListedState::running : ListedState::starting;
+                    r.listed.push_back(m.info);
+                }
+            }
+            break;
+        case CloudCall::Kind::release:
+            for (const auto& name : call.machines) {
+                auto it = machines.find(name);
+                if (it != machines.end()) {
+                    it->second.deleted = true;
+                    it->second.tasks.clear();
+                }
+            }
+            break;
+        case CloudCall::Kind::rent: {
+            auto& names = rented_[call.request];
+            if (names.empty()) {
+                int count = std::min(call.count, capacity - machines_up());
+                if (count <= 0) {
+                    r.status = CloudReply::Status::no_capacity;
+                    return r;
+                }
+                ++rentals;
+                for (int k = 0; k < count; ++k) {
+                    std::string name = fmt::format("vm-{:06}", ++next_machine_);
+                    add_machine(name, call.zone, call.spot).up_at = now + 5;
+                    names.push_back(name);
+                }
+            }
+            r.machines = names;
+            break;
+        }
+    }
+    return r;
+}
+
+void World::act(int i, const CloudCall& call) {
+    int generation = nodes_[static_cast<std::size_t>(i)].generation;
+    after(0.1 + delay(), [=, this] {
+        CloudReply reply;
+        if (!cloud_down) {
+            reply = cloud(call);
+        }
+        if (chance(lost_answers)) {
+            reply = {};
+        }
+        after(delay(), [=, this] {
+            to_node(i, generation, [&](Controller& c) { c.cloud_reply(time(), call.id, reply); });
+        });
+    });
+}
+
+FakeMachine& World::add_machine(const std::string& name, const std::string& zone, bool spot) {
+    FakeMachine& m = machines[name];
+    m.info = {name, name, "t8", zone, spot, ListedState::starting, 0};
+    m.up_at = now;
+    m.lease_from = now;
+    return m;
+}
+
+int World::machines_up() const {
+    return static_cast<int>(std::count_if(machines.begin(), machines.end(),
+                                          [](const auto& m) { return !m.second.deleted; }));
+}
+
+// --- workers
+
+Report World::make_report(FakeMachine& m) {
+    Report r{m.info.name, m.info.name, "t8",       m.info.zone, m.info.spot,
+             m.session,   ++m.seq,     m.token,    m.notice_s,  {}};
+    for (const auto& [id, attempts] : m.tasks) {
+        for (const auto& [attempt, t] : attempts) {
+            r.tasks.push_back({id, attempt, t.state, t.why, t.saved});
+        }
+    }
+    return r;
+}
+
+void World::check_start(const FakeMachine& m, const TaskId& id) {
+    const JobSpec& s = specs_[id.uid];
+    int same_zone = 0;
+    Resources used;
+    for (const auto& [name, other] : machines) {
+        for (const auto& [tid, attempts] : other.tasks) {
+            for (const auto& [attempt, t] : attempts) {
+                bool self = name == m.info.name && tid == id;
+                if (t.state == TaskState::exited) {
+                    continue;
+                }
+                if (specs_[tid.uid].team == s.team) {
+                    used += specs_[tid.uid].each;
+                }
+                if (self) {
+                    same_zone += 1;
+                    continue;
+                }
+                if (tid == id) {
+                    broken.push_back("ran_twice: " + id.text());
+                }
+                if (tid.uid == id.uid) {
+                    same_zone += other.info.zone == m.info.zone ? 1 : 0;
+                    if (s.together && other.info.zone != m.info.zone) {
+                        broken.push_back("wrong_place (together): " + id.text());
+                    }
+                }
+            }
+        }
+    }
+    for (const auto& team : settings.teams) {
+        if (team.name == s.team && team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6) {
+            broken.push_back("quota: " + s.team);
+        }
+    }
+    if (s.spread && same_zone > (s.tasks + 1) / 2) {
+        broken.push_back("wrong_place (spread): " + id.text());
+    }
+    if ((s.zone && *s.zone != m.info.zone) || (m.info.spot && !s.spot)) {
+        broken.push_back("wrong_place: " + id.text());
+    }
+    auto c = cancelled_.find(id.uid);
+    if (c != cancelled_.end() && now > c->second + settings.cancel_s) {
+        broken.push_back("ran_cancelled: " + id.text());
+    }
+}
+
+void World::execute(FakeMachine& m, const Command& c) {
+    if (on_command) {
+        on_command(m.info.name, c);
+    }
+    auto& attempts = m.tasks[c.id];
+    auto it = attempts.find(c.attempt);
+    if (c.kind == Command::Kind::forget) {
+        if (it != attempts.end() && it->second.state == TaskState::exited) {
+            attempts.erase(it);
+        }
+    } else if (c.kind == Command::Kind::stop) {
+        if (it != attempts.end() && it->second.state != TaskState::exited) {
+            it->second.state = TaskState::exited;
+            it->second.why = ExitReason::stopped;
+            it->second.saved = c.grace_s > 0;
+        }
+    } else if (it == attempts.end()) {
+        bool live = std::any_of(attempts.begin(), attempts.end(), [](const auto& a) {
+            return a.second.state != TaskState::exited;
+        });
+        Resources left = type8().size;
+        for (const auto& [id, others] : m.tasks) {
+            for (const auto& [a, t] : others) {
+                if (t.state != TaskState::exited) {
+                    left -= specs_[id.uid].each;
+                }
+            }
+        }
+        FakeTask t;
+        t.attempt = c.attempt;
+        if (specs_.count(c.id.uid) == 0) {
+            t.state = TaskState::exited;
+            t.why = ExitReason::unknown_task;
+        } else if (live) {
+            t.state = TaskState::exited;
+            t.why = ExitReason::busy;
+        } else if (!specs_[c.id.uid].each.fits_in(left)) {
+            t.state = TaskState::exited;
+            t.why = ExitReason::no_room;
+        } else {
+            const auto& image = specs_[c.id.uid].image;
+            t.ready_at = now + (m.images.count(image) != 0 ? 0.01 : fetch_s);
+        }
+        attempts[c.attempt] = t;
+        if (t.state != TaskState::exited) {
+            check_start(m, c.id);
+        }
+    }
+    if (attempts.empty()) {
+        m.tasks.erase(c.id);
+    }
+    m.next_report = std::min(m.next_report, std::max(now, m.sent_at + 0.5));
+}
+
+void World::send_report(FakeMachine& m) {
+    m.in_flight = true;
+    m.sent_at = now;
+    m.next_report = now + settings.report_s;
+    Report r = make_report(m);
+    std::size_t target = m.target;
+    int generation = nodes_[target].generation;
+    bool lost = m.zone_cut || workers_cut.count(static_cast<int>(target)) != 0 ||
+                !nodes_[target].core;
+    std::string name = m.info.name;
+    std::uint64_t session = m.session;
+    double sent = now;
+    if (!lost) {
+        after(delay(), [=, this] {
+            to_node(static_cast<int>(target), generation, [&](Controller& c) {
+                std::uint64_t request = ++next_request_;
+                worker_done_[request] = [=, this](const WorkerReply& reply) {
+                    after(delay(), [=, this] { got_reply(name, session, sent, target, reply); });
+                };
+                c.report(time(), request, r, false);
+            });
+        });
+    }
+    after(lost ? 1 : 4, [this, name, sent] {
+        auto it = machines.find(name);
+        if (it != machines.end() && it->second.in_flight && it->second.sent_at == sent) {
+            it->second.in_flight = false;
+            it->second.target = (it->second.target + 1) % nodes_.size();
+            it->second.next_report = now + 1;
+        }
+    });
+}
+
+void World::got_reply(const std::string& name, std::uint64_t session, double sent,
+                      std::size_t target, const WorkerReply& reply) {
+    auto it = machines.find(name);
+    if (it == machines.end() || it->second.deleted || it->second.sent_at != sent ||
+        !it->second.in_flight || it->second.zone_cut) {
+        return;
+    }
+    FakeMachine& m = it->second;
+    m.in_flight = false;
+    if (reply.status != 200) {
+        std::size_t next = (target + 1) % nodes_.size();
+        double pause = 1;
+        if (reply.status == 421 && !reply.home.empty() &&
+            reply.home != "n" + std::to_string(target)) {
+            next = static_cast<std::size_t>(std::stoi(reply.home.substr(1)));
+            pause = 0.2;
+        }
+        m.target = next;
+        m.next_report = now + pause;
+        return;
+    }
+    if (reply.token < m.token || session != m.session || m.hangs) {
+        return;
+    }
+    if (reply.token > m.token) {
+        m.token = reply.token;
+        m.next_report = std::min(m.next_report, sent + 0.5);
+    }
+    m.lease_from = sent;
+    for (const auto& c : reply.commands) {
+        execute(m, c);
+    }
+}
+
+void World::step_worker(FakeMachine& m) {
+    if (m.deleted || m.hangs || now < m.up_at) {
+        return;
+    }
+    if (now - m.lease_from > settings.lease_s) {
+        m.tasks.clear();
+        m.session++;
+        m.lease_from = now;
+        m.next_report = now;
+    }
+    bool change = false;
+    for (auto& [id, attempts] : m.tasks) {
+        for (auto& [attempt, t] : attempts) {
+            const JobSpec& s = specs_[id.uid];
+            auto before = t.state;
+            if (t.state == TaskState::fetching && now >= t.ready_at) {
+                m.images.insert(s.image);
+                if (m.fails_tasks) {
+                    t.state = TaskState::exited;
+                    t.why = ExitReason::error;
+                } else if (done_tasks_[id.uid].count(id.index) != 0) {
+                    t.state = TaskState::exited;
+                    t.why = ExitReason::done;
+                } else {
+                    t.state = s.kind == JobKind::gang && s.tasks > 1 ? TaskState::waiting
+                                                                     : TaskState::running;
+                    t.ends_at = s.kind == JobKind::service ? 1e18 : now + run_s;
+                }
+            }
+            if (t.state == TaskState::waiting) {
+                int mates = 0;
+                for (const auto& [name, other] : machines) {
+                    for (const auto& [tid, list] : other.tasks) {
+                        auto a = list.find(attempt);
+                        mates += tid.uid == id.uid && a != list.end() && present(a->second) ? 1 : 0;
+                    }
+                }
+                if (mates == s.tasks) {
+                    t.state = TaskState::running;
+                    t.ends_at = now + run_s;
+                } else if (now > t.ready_at + settings.gang_wait_s) {
+                    t.state = TaskState::exited;
+                    t.why = ExitReason::incomplete;
+                }
+            }
+            if (t.state == TaskState::running && now >= t.ends_at) {
+                t.state = TaskState::exited;
+                t.why = ExitReason::done;
+                done_tasks_[id.uid].insert(id.index);
+            }
+            change = change || before != t.state;
+        }
+    }
+    if (change) {
+        m.next_report = std::min(m.next_report, std::max(now, m.sent_at + 0.5));
+    }
+    if (!m.in_flight && now >= m.next_report) {
+        send_report(m);
+    }
+}
+
+void World::act(int i, const OrderCall& call) {
+    int generation = nodes_[static_cast<std::size_t>(i)].generation;
+    after(delay(), [=, this] {
+        OrderReply reply;
+        auto it = machines.find(call.address);
+        bool reach = it != machines.end() && !it->second.deleted && !it->second.hangs &&
+                     !it->second.zone_cut && now >= it->second.up_at &&
+                     workers_cut.count(i) == 0;
+        if (reach) {
+            FakeMachine& m = it->second;
+            reply.answered = true;
+            if (call.session != 0 && call.token >= m.token && call.session == m.session) {
+                m.token = call.token;
+                for (const auto& c : call.commands) {
+                    execute(m, c);
+                }
+                reply.executed = true;
+            }
+            reply.report = make_report(m);
+        }
+        after(reach ? delay() : 2, [=, this] {
+            to_node(i, generation, [&](Controller& c) { c.order_reply(time(), call.id, reply); });
+        });
+    });
+}
+
+void World::act(int i, const PeerCall& call) {
+    int generation = nodes_[static_cast<std::size_t>(i)].generation;
+    int to = std::stoi(call.peer.substr(1));
+    if (peers_cut.count({std::min(i, to), std::max(i, to)}) != 0 || !alive(to)) {
+        after(1, [=, this] {
+            to_node(i, generation,
+                    [&](Controller& c) { c.peer_reply(time(), call.id, false, std::nullopt); });
+        });
+        return;
+    }
+    int other = nodes_[static_cast<std::size_t>(to)].generation;
+    after(delay(), [=, this] {
+        to_node(to, other, [&](Controller& c) {
+            c.peer_word(time(), "n" + std::to_string(i), call.state_contact);
+            if (call.relay) {
+                std::uint64_t request = ++next_request_;
+                worker_done_[request] = [=, this](const WorkerReply& reply) {
+                    after(delay(), [=, this] {
+                        to_node(i, generation, [&](Controller& back) {
+                            back.peer_reply(time(), call.id, true, reply);
+                        });
+                    });
+                };
+                c.report(time(), request, *call.relay, true);
+            }
+        });
+    });
+}
+
+void World::act(int /*node*/, const WorkerReply& reply) {
+    auto it = worker_done_.find(reply.request);
+    if (it != worker_done_.end()) {
+        auto done = std::move(it->second);
+        worker_done_.erase(it);
+        done(reply);
+    }
+}
+
+WorkerReply World::report(int i, const Report& r) {
+    std::uint64_t request = ++next_request_;
+    auto got = std::make_shared<std::optional<WorkerReply>>();
+    worker_done_[request] = [got](const WorkerReply& reply) { *got = reply; };
+    to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+            [&](Controller& c) { c.report(time(), request, r, false); });
+    until([&] { return got->has_value(); }, 5);
+    return got->value_or(WorkerReply{});
+}
+
+// --- users
+
+JobSpec World::job(int number, JobKind kind, int tasks) const {
+    JobSpec s;
+    s.uid = fmt::format("req-{:06}", number);
+    s.job_class = "c";
+    s.team = "blue";
+    s.kind = kind;
+    s.tasks = tasks;
+    s.each = {4, 1, 16};
+    s.image = "img-01";
+    s.image_gb = 1;
+    s.estimate_s = run_s;
+    return s;
+}
+
+// What users had been told when they asked: only an answer older than that breaks a rule.
+std::uint64_t World::ask(const std::string& uid) {
+    std::uint64_t request = ++next_request_;
+    if (accepted_.count(uid) != 0) {
+        known_.insert(request);
+    }
+    if (cancelled_.count(uid) != 0) {
+        known_cancelled_.insert(request);
+    }
+    if (told_done_.count(uid) != 0) {
+        known_done_.insert(request);
+    }
+    return request;
+}
+
+std::uint64_t World::submit(int i, const JobSpec& spec) {
+    specs_.try_emplace(spec.uid, spec);
+    std::uint64_t request = ask(spec.uid);
+    to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+            [&](Controller& c) { c.submit(time(), request, spec); });
+    return request;
+}
+
+std::uint64_t World::poll(int i, const std::string& uid) {
+    std::uint64_t request = ask(uid);
+    to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+            [&](Controller& c) { c.poll(time(), request, uid); });
+    return request;
+}
+
+std::uint64_t World::cancel(int i, const std::string& uid) {
+    std::uint64_t request = ask(uid);
+    to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+            [&](Controller& c) { c.cancel(time(), request, uid); });
+    return request;
+}
+
+UserReply World::answer(std::uint64_t request, double seconds) {
+    until([&] { return replies_.count(request) != 0; }, seconds);
+    auto it = replies_.find(request);
+    UserReply none;
+    none.status = 0;
+    return it == replies_.end() ? none : it->second;
+}
+
+int World::running(const std::string& uid) const { return static_cast<int>(places(uid).size()); }
+
+std::vector<std::string> World::places(const std::string& uid) const {
+    std::vector<std::string> list;
+    for (const auto& [name, m] : machines) {
+        for (const auto& [id, attempts] : m.tasks) {
+            for (const auto& [attempt, t] : attempts) {
+                if (id.uid == uid && t.state == TaskState::running) {
+                    list.push_back(name);
+                }
+            }
+        }
+    }
+    return list;
+}
+
+bool World::all_members(std::size_t n) const {
+    for (const auto& node : nodes_) {
+        if (node.core && (!node.core->context().member ||
+                          node.core->context().jobs.epoch()->members.size() != n)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void World::check() {
+    for (const auto& [uid, at] : cancelled_) {
+        if (now <= at + settings.cancel_s) {
+            continue;
+        }
+        for (const auto& [name, m] : machines) {
+            for (const auto& [id, attempts] : m.tasks) {
+                for (const auto& [attempt, t] : attempts) {
+                    if (id.uid == uid && t.state != TaskState::exited) {
+                        broken.push_back("ran_cancelled: " + id.text());
+                    }
+                }
+            }
+        }
+    }
+}
+
+void World::tick() {
+    expire_leases();
+    serve_watches();
+    for (auto& [name, m] : machines) {
+        step_worker(m);
+    }
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+        to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+                [&](Controller& c) { c.tick(time()); });
+    }
+    check();
+}
+
+void World::run(double seconds) {
+    until([] { return false; }, seconds);
+}
+
+bool World::until(const std::function<bool()>& holds, double seconds) {
+    double end = now + seconds;
+    double next_tick = now + tick_s;
+    while (now < end) {
+        if (holds()) {
+            return true;
+        }
+        if (!queue_.empty() && queue_.top().at <= next_tick) {
+            Item item = queue_.top();
+            queue_.pop();
+            now = std::max(now, item.at);
+            item.what();
+            serve_watches();
+        } else {
+            now = next_tick;
+            next_tick += tick_s;
+            tick();
+        }
+    }
+    return holds();
+}
+
+}  // namespace cranemoor::test
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,184 @@
+// In-memory fakes of the state service, the cloud, the workers and the network round several
+// real cores, driven by simulated time. After every step the protocol's rules are checked.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/controller.hpp"
+
+namespace cranemoor::test {
+
+using namespace core;
+
+struct FakeTask {
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::fetching;
+    ExitReason why = ExitReason::none;
+    bool saved = false;
+    double ready_at = 0;  // image there
+    double ends_at = 1e18;
+    double exits_at = 1e18;  // saving until then
+};
+
+struct FakeMachine {
+    ListedMachine info;
+    double up_at = 0;
+    bool deleted = false;
+    bool hangs = false;  // silent and idle, but not gone
+    bool fails_tasks = false;
+    bool zone_cut = false;  // unreachable for everybody
+    Token token = 0;
+    std::uint64_t session = 1;
+    std::uint64_t seq = 0;
+    double lease_from = 0;
+    std::map<TaskId, std::map<std::uint64_t, FakeTask>> tasks;
+    std::size_t target = 0;  // controller it reports to
+    bool in_flight = false;
+    double sent_at = 0;
+    double next_report = 0;
+    std::optional<double> notice_s;
+    std::set<std::string> images;
+};
+
+class World {
+  public:
+    explicit World(int nodes = 1, unsigned seed = 1);
+
+    // --- the story's means
+    Settings settings;  // change before start_all()
+    double fetch_s = 0.5;
+    void start_all();
+    void start(int node);
+    void kill(int node);
+    void run(double seconds);
+    // Runs until it holds; false after that many seconds.
+    bool until(const std::function<bool()>& holds, double seconds);
+    std::uint64_t submit(int node, const JobSpec& spec);
+    std::uint64_t poll(int node, const std::string& uid);
+    std::uint64_t cancel(int node, const std::string& uid);
+    // Waits for the answer of a request.
+    UserReply answer(std::uint64_t request, double seconds = 6);
+    UserReply submit_and_wait(int node, const JobSpec& spec) { return answer(submit(node, spec)); }
+    UserReply poll_and_wait(int node, const std::string& uid) { return answer(poll(node, uid)); }
+    WorkerReply report(int node, const Report& report);
+    FakeMachine& add_machine(const std::string& name, const std::string& zone, bool spot = false);
+
+    JobSpec job(int number, JobKind kind = JobKind::array, int tasks = 1) const;
+    int running(const std::string& uid) const;
+    std::vector<std::string> places(const std::string& uid) const;
+    bool all_members(std::size_t n) const;
+    Controller& node(int i) { return *nodes_[static_cast<std::size_t>(i)].core; }
+    bool alive(int i) const { return nodes_[static_cast<std::size_t>(i)].core != nullptr; }
+    const Json* stored(const std::string& key) const;
+    void store(const std::string& key, const Json& value);
+    void drop(const std::string& key);
+    int machines_up() const;
+
+    // --- troubles
+    bool state_down = false;
+    bool cloud_down = false;
+    std::set<int> state_refused;           // nodes that the state service refuses
+    std::set<int> workers_cut;             // nodes that no worker reaches
+    std::set<std::pair<int, int>> peers_cut;
+    double lost_answers = 0;               // probability that an answer of the state service is lost
+    double late_txn = 0;                   // probability that a transaction is executed late
+    double slow = 0;                       // probability that a message takes long
+    int capacity = 1000;
+
+    double now = 0;
+    std::map<std::string, FakeMachine> machines;
+    std::vector<std::string> broken;  // rules broken, in words
+    int rentals = 0;
+    int transactions = 0;
+    std::vector<Txn> refused_txns;
+    std::vector<std::string> log;
+    double run_s = 20;  // run time of arrays' and gangs' tasks
+    std::function<void(const std::string& machine, const Command&)> on_command;
+
+  private:
+    struct Node {
+        std::unique_ptr<Controller> core;
+        int generation = 0;
+    };
+    struct Item {
+        double at;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator<(const Item& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+    };
+    struct Stored {
+        Json value;
+        Revision revision = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Watch {
+        int node;
+        int generation;
+        std::uint64_t id;
+        Revision since;
+        double until;
+    };
+
+    void after(double s, std::function<void()> what);
+    double delay();
+    bool chance(double p);
+    Now time() const { return {now, 1.7e9 + now}; }
+    void drain(int node);
+    void act(int node, const StateCall& call);
+    void act(int node, const CloudCall& call);
+    void act(int node, const OrderCall& call);
+    void act(int node, const PeerCall& call);
+    void act(int node, const WorkerReply& reply);
+    StateReply execute(const StateCall& call);
+    void changed(const std::string& key, const std::optional<Json>& value);
+    void serve_watches();
+    void expire_leases();
+    void to_node(int node, int generation, std::function<void(Controller&)> f);
+    CloudReply cloud(const CloudCall& call);
+    // workers
+    void step_worker(FakeMachine& m);
+    void send_report(FakeMachine& m);
+    void got_reply(const std::string& machine, std::uint64_t session, double sent,
+                   std::size_t target, const WorkerReply& reply);
+    void execute(FakeMachine& m, const Command& c);
+    Report make_report(FakeMachine& m);
+    void check_start(const FakeMachine& m, const TaskId& id);
+    void check();
+    std::uint64_t ask(const std::string& uid);
+    void tick();
+
+    std::priority_queue<Item> queue_;
+    std::uint64_t order_ = 0;
+    std::mt19937 random_;
+    std::vector<Node> nodes_;
+    std::map<std::string, Stored> kv_;
+    Revision tide_ = 0;
+    std::vector<Event> events_;
+    std::map<std::uint64_t, double> leases_;
+    std::uint64_t next_lease_ = 0;
+    std::vector<Watch> watches_;
+    std::map<std::string, std::vector<std::string>> rented_;
+    int next_machine_ = 0;
+    std::uint64_t next_request_ = 0;
+    std::map<std::uint64_t, UserReply> replies_;
+    std::map<std::uint64_t, std::pair<std::string, JobSpec>> submitted_;
+    std::map<std::uint64_t, std::function<void(const WorkerReply&)>> worker_done_;
+    std::map<std::string, JobSpec> specs_;
+    std::map<std::string, double> cancelled_;          // told to the user
+    std::map<std::string, std::set<int>> done_tasks_;  // completed on a worker
+    std::set<std::string> accepted_;
+    std::set<std::string> told_done_;
+    // requests made when their user had been told that the job is accepted, cancelled, done
+    std::set<std::uint64_t> known_;
+    std::set<std::uint64_t> known_cancelled_;
+    std::set<std::uint64_t> known_done_;
+};
+
+}  // namespace cranemoor::test
