--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -460,8 +460,10 @@
         if (over) {
             txn.conditions.push_back({keys::job(uid), job.revision});
             txn.writes.push_back({keys::job(uid), std::nullopt});
+            // A cancellation stands even if the last task was done before it could be stopped:
+            // its user has been told.
             txn.writes.push_back(
-                {keys::finished(uid), encode(Finished{!job.complete(), job.spec.tasks})});
+                {keys::finished(uid), encode(Finished{job.cancelled, job.spec.tasks})});
         }
         bool busy = false;
         for (const auto& [k, b] : job.blocks) {
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -36,10 +36,10 @@
     }
     if (job.cancelled) {
         r.state = "cancelled";
-    } else if (job.complete()) {
-        r.state = "done";
     } else {
-        r.state = running > 0 ? "running" : "queued";
+        // Also when every task is done: until the final record is written, a cancellation may
+        // still come before it, and "done" would have to be taken back.
+        r.state = running > 0 || job.done() > 0 ? "running" : "queued";
     }
     if (counts) {
         r.counts = std::make_pair(job.done(), running);
@@ -319,7 +319,7 @@
         });
         return;
     }
-    if (job->cancelled || job->complete()) {
+    if (job->cancelled) {
         reply_job(request, 200, *job, false);
         return;
     }
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -23,6 +23,11 @@
     Three() : Story(3) {}
 };
 
+Report bare_report(const std::string& name, const std::string& zone, Token token,
+                   std::uint64_t seq) {
+    return {name, name, "t8", zone, false, 1, seq, token, std::nullopt, {}};
+}
+
 // --- users --------------------------------------------------------------------------------
 
 TEST_F(Story, AnAcceptedArrayIsRentedForRunsAndIsDone) {
@@ -139,6 +144,22 @@
     EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 0; }, 20));
 }
 
+TEST_F(Story, ACancellationStandsAlthoughTheLastTaskWasDoneMeanwhile) {
+    // Found by the random story: the final record said "done" after its user was told otherwise.
+    begin();
+    w.submit_and_wait(0, w.job(1));
+    auto token = w.report(0, bare_report("vm-100000", "a", 0, 1)).token;
+    auto start = w.report(0, bare_report("vm-100000", "a", token, 2));
+    ASSERT_EQ(start.commands.size(), 1U);
+    EXPECT_EQ(w.answer(w.cancel(0, "req-000001")).state, "cancelled");
+    auto done = bare_report("vm-100000", "a", token, 3);
+    done.tasks.push_back({{"req-000001", 0}, start.commands[0].attempt, TaskState::exited,
+                          ExitReason::done, false});
+    w.report(0, done);
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 10));
+    EXPECT_EQ(w.poll_and_wait(0, "req-000001").state, "cancelled");
+}
+
 // --- rule 1: epoch ------------------------------------------------------------------------
 
 TEST_F(Three, ARestartedProcessJoinsAsANewMemberInANewEpoch) {
@@ -198,11 +219,6 @@
 
 // --- rule 2: owner and adoption -----------------------------------------------------------
 
-Report bare_report(const std::string& name, const std::string& zone, Token token,
-                   std::uint64_t seq) {
-    return {name, name, "t8", zone, false, 1, seq, token, std::nullopt, {}};
-}
-
 TEST_F(Story, NothingIsStartedBeforeAReportCarriesOurToken) {
     begin();
     w.submit_and_wait(0, w.job(1, JobKind::service));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -102,6 +102,8 @@
                 act(i, *w);
             } else if (auto* u = std::get_if<UserReply>(&action)) {
                 replies_[u->request] = *u;
+                log.push_back(fmt::format("{:.3f} n{} reply {} to {}: {} {} {}", now, i, u->request,
+                                          u->uid, u->status, u->state, u->error));
                 if (u->state == "done") {
                     told_done_.insert(u->uid);
                     auto spec = specs_.find(u->uid);
