--- a/src/config/operators.cpp
+++ b/src/config/operators.cpp
@@ -26,8 +26,8 @@
 };
 
 std::string at(const std::string& text, std::ptrdiff_t offset, const std::string& name) {
-    auto end = text.begin() + std::clamp<std::ptrdiff_t>(
-                                  offset, 0, static_cast<std::ptrdiff_t>(text.size()));
+    auto end = text.begin() +
+               std::clamp<std::ptrdiff_t>(offset, 0, static_cast<std::ptrdiff_t>(text.size()));
     return name + ": line " + std::to_string(1 + std::count(text.begin(), end, '\n')) + ": ";
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -152,7 +152,9 @@
     return s;
 }
 
-core::Settings read_settings(const std::string& path) { return parse_settings(slurp(path), path); }
+core::Settings read_settings(const std::string& path) {
+    return parse_settings(slurp(path), path);
+}
 
 core::Tunables read_operators(const std::string& path) {
     return parse_operators(slurp(path), path);
--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -92,7 +92,7 @@
     std::uint64_t request = 0;
     int status = 503;
     std::string uid;
-    std::string state;  // queued, running, done, cancelled
+    std::string state;                          // queued, running, done, cancelled
     std::optional<std::pair<int, int>> counts;  // done, running
     std::string error;
 };
@@ -136,7 +136,7 @@
     std::string text;
 };
 
-using Action = std::variant<StateCall, CloudCall, UserReply, WorkerReply, OrderCall, PeerCall,
-                            LogLine>;
+using Action =
+    std::variant<StateCall, CloudCall, UserReply, WorkerReply, OrderCall, PeerCall, LogLine>;
 
 }  // namespace cranemoor::core
--- a/src/core/context.hpp
+++ b/src/core/context.hpp
@@ -89,9 +89,7 @@
         }
     }
 
-    Condition epoch_condition() const {
-        return {keys::epoch, jobs.revision_of(keys::epoch)};
-    }
+    Condition epoch_condition() const { return {keys::epoch, jobs.revision_of(keys::epoch)}; }
 
     const Settings settings;
     const Tunables tunables;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -43,7 +43,9 @@
     return nullptr;
 }
 
-void Fleet::set_types(const std::vector<MachineType>& types) { types_ = types; }
+void Fleet::set_types(const std::vector<MachineType>& types) {
+    types_ = types;
+}
 
 // --- images -------------------------------------------------------------------------------
 
@@ -535,8 +537,7 @@
             }
             Attempt attempt{id, p->attempt};
             auto concluded = outcomes_.find(id.uid);
-            bool ending =
-                concluded != outcomes_.end() && concluded->second.count(id.index) != 0;
+            bool ending = concluded != outcomes_.end() && concluded->second.count(id.index) != 0;
             if (m.tasks.count(attempt) != 0 || live.count(id) != 0 || ending) {
                 continue;
             }
@@ -863,8 +864,7 @@
         }
     }
     // When most machines fall silent at once, this process's own network is the likelier cause.
-    bool suspect_self =
-        silent > constants::silent_few && silent > mine * constants::silent_share;
+    bool suspect_self = silent > constants::silent_few && silent > mine * constants::silent_share;
     for (auto it = machines_.begin(); it != machines_.end();) {
         Machine& m = it->second;
         const Mark* mk = ctx_.jobs.mark(m.name);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -60,7 +60,7 @@
     bool listed = false;
     ListedState listed_state = ListedState::starting;
     double listed_at = -1e9;
-    double born = 0;           // steady time of its rental, as far as known
+    double born = 0;            // steady time of its rental, as far as known
     double running_since = -1;  // first listed as running
     double empty_since = -1;    // no placements since, -1: has some
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -50,7 +50,9 @@
     return std::nullopt;
 }
 
-void Jobs::begin_load() { *this = Jobs(); }
+void Jobs::begin_load() {
+    *this = Jobs();
+}
 
 void Jobs::load(const std::vector<Event>& items) {
     for (const auto& item : items) {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -26,9 +26,7 @@
     int block_count() const { return (spec.tasks + block_size - 1) / block_size; }
     int block_of(int task) const { return task / block_size; }
     int block_first(int block) const { return block * block_size; }
-    int block_last(int block) const {
-        return std::min(spec.tasks, (block + 1) * block_size) - 1;
-    }
+    int block_last(int block) const { return std::min(spec.tasks, (block + 1) * block_size) - 1; }
     const Block& block(int index) const;
     int done() const;
     int placed() const;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -281,12 +281,11 @@
     if (ctx_.settings.peers.empty()) {
         return true;
     }
-    return std::all_of(
-        ctx_.settings.peers.begin(), ctx_.settings.peers.end(), [&](const Peer& p) {
-            auto w = words_.find(p.name);
-            return w != words_.end() && !w->second.contact &&
-                   ctx_.now.steady - w->second.at < constants::peer_word_s;
-        });
+    return std::all_of(ctx_.settings.peers.begin(), ctx_.settings.peers.end(), [&](const Peer& p) {
+        auto w = words_.find(p.name);
+        return w != words_.end() && !w->second.contact &&
+               ctx_.now.steady - w->second.at < constants::peer_word_s;
+    });
 }
 
 bool Membership::may_answer_workers() const {
@@ -323,8 +322,8 @@
     const Member* best = nullptr;
     std::tuple<bool, std::uint64_t, std::uint64_t> best_rank;
     for (const auto& m : epoch->members) {
-        std::tuple<bool, std::uint64_t, std::uint64_t> rank{m.zone == zone,
-                                                            stable_hash(machine + "|" + m.name), m.id};
+        std::tuple<bool, std::uint64_t, std::uint64_t> rank{
+            m.zone == zone, stable_hash(machine + "|" + m.name), m.id};
         if (best == nullptr || rank > best_rank) {
             best = &m;
             best_rank = rank;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -20,8 +20,8 @@
     }
     double t = ctx_.now.steady;
     if (!list_open_ && t >= next_list_) {
-        next_list_ = t + (members_.leading() ? constants::list_every_s
-                                             : constants::list_every_others_s);
+        next_list_ =
+            t + (members_.leading() ? constants::list_every_s : constants::list_every_others_s);
         list("");
     }
     if (!members_.leading() || !members_.in_contact() || fleet_.types().empty()) {
@@ -222,8 +222,8 @@
         if (!m.reported && age > type->boot_s * constants::boot_late_factor) {
             continue;  // it may still come, but nobody should wait for it
         }
-        list.push_back({m.zone, m.type, m.spot, ctx_.jobs.on_machine(name).empty(),
-                        fleet_.room(m)});
+        list.push_back(
+            {m.zone, m.type, m.spot, ctx_.jobs.on_machine(name).empty(), fleet_.room(m)});
     }
     for (const auto& r : rentals_) {
         const auto& [type, zone, spot] = r.kind;
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -18,8 +18,7 @@
 
 class Provisioner {
   public:
-    Provisioner(Context& ctx, Membership& members, Fleet& fleet, Scheduler& scheduler,
-                Quota& quota)
+    Provisioner(Context& ctx, Membership& members, Fleet& fleet, Scheduler& scheduler, Quota& quota)
         : ctx_(ctx), members_(members), fleet_(fleet), scheduler_(scheduler), quota_(quota) {}
 
     void tick();
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-bool unlimited(const Team& t) { return t.limit.cpus <= 0 && t.limit.gpus <= 0; }
+bool unlimited(const Team& t) {
+    return t.limit.cpus <= 0 && t.limit.gpus <= 0;
+}
 
 // Whether an amount is within a limit, where 0 means none.
 bool within(const Resources& amount, const Team& t) {
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -21,7 +21,9 @@
     return out;
 }
 
-Json amounts(const Resources& r) { return Json::array({r.cpus, r.gpus, r.memory_gb}); }
+Json amounts(const Resources& r) {
+    return Json::array({r.cpus, r.gpus, r.memory_gb});
+}
 
 Resources amounts(const Json& value) {
     return {value.at(0).get<double>(), value.at(1).get<double>(), value.at(2).get<double>()};
@@ -42,14 +44,24 @@
 }
 
 namespace keys {
-std::string member(const std::string& name) { return "c/m/" + safe(name); }
-std::string job(const std::string& uid) { return "c/j/" + safe(uid); }
+std::string member(const std::string& name) {
+    return "c/m/" + safe(name);
+}
+std::string job(const std::string& uid) {
+    return "c/j/" + safe(uid);
+}
 std::string block(const std::string& uid, int index) {
     return fmt::format("c/b/{}/{}", safe(uid), index);
 }
-std::string quota(const std::string& team) { return "c/q/" + safe(team); }
-std::string mark(const std::string& machine) { return "c/x/" + safe(machine); }
-std::string finished(const std::string& uid) { return "f/" + safe(uid); }
+std::string quota(const std::string& team) {
+    return "c/q/" + safe(team);
+}
+std::string mark(const std::string& machine) {
+    return "c/x/" + safe(machine);
+}
+std::string finished(const std::string& uid) {
+    return "f/" + safe(uid);
+}
 }  // namespace keys
 
 const Member* Epoch::find(const std::string& name) const {
@@ -193,7 +205,9 @@
     return {v.at("state").get<std::string>() == "cancelled", v.at("tasks").get<int>()};
 }
 
-Json encode(const Mark& m) { return {{"why", m.why}, {"fence", m.fence}, {"gone", m.gone}}; }
+Json encode(const Mark& m) {
+    return {{"why", m.why}, {"fence", m.fence}, {"gone", m.gone}};
+}
 
 Mark decode_mark(const Json& v) {
     Mark m;
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -52,7 +52,7 @@
 struct Block {
     Revision revision = 0;  // 0: no record yet
     std::uint64_t attempt = 0;
-    std::map<int, Placement> placed;     // by task number
+    std::map<int, Placement> placed;        // by task number
     std::vector<std::pair<int, int>> done;  // ranges of task numbers, ends included
     bool is_done(int task) const;
     int done_count() const;
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -27,7 +27,8 @@
         const Machine* m = fleet_.find(p.machine);
         // What other members' machines do is not known here; a place counts as running.
         bool known = m != nullptr && m->mine && m->adopted;
-        auto t = known ? m->tasks.find({{job.spec.uid, task}, p.attempt}) : decltype(m->tasks.end()){};
+        auto t =
+            known ? m->tasks.find({{job.spec.uid, task}, p.attempt}) : decltype(m->tasks.end()){};
         if (!known) {
             ++running;
         } else if (t != m->tasks.end() && t->second.state == TaskState::running) {
@@ -65,7 +66,9 @@
     reply(request, 503, uid, "", "not able to decide now");
 }
 
-bool Requests::take(std::uint64_t request) { return open_.count(request) != 0; }
+bool Requests::take(std::uint64_t request) {
+    return open_.count(request) != 0;
+}
 
 void Requests::remember(const std::string& uid, const Finished& f) {
     if (!finished_.try_emplace(uid, f).second) {
@@ -162,8 +165,8 @@
     for (const auto& t : fleet_.types()) {
         bool type_ok =
             !s.types || std::find(s.types->begin(), s.types->end(), t.name) != s.types->end();
-        bool zone_ok = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) !=
-                                      t.zones.end();
+        bool zone_ok =
+            !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
         fits = fits || (type_ok && zone_ok && s.each.fits_in(t.size));
     }
     if (!fits) {
@@ -236,14 +239,13 @@
         busy(request, spec.uid);
         return;
     }
-    int per_block = static_cast<int>((ctx_.settings.state_value_kb * 1024 -
-                                      constants::block_overhead_bytes) /
-                                     constants::placement_bytes);
+    int per_block =
+        static_cast<int>((ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes) /
+                         constants::placement_bytes);
     per_block = std::max(2, std::min(constants::block_tasks_max, per_block) / 2 * 2);
     Txn txn;
-    txn.conditions = {ctx_.epoch_condition(),
-                      {keys::job(spec.uid), 0},
-                      {keys::finished(spec.uid), 0}};
+    txn.conditions = {
+        ctx_.epoch_condition(), {keys::job(spec.uid), 0}, {keys::finished(spec.uid), 0}};
     txn.writes = {{keys::job(spec.uid), encode_job(spec, ctx_.now.wall, per_block, 0)}};
     ctx_.txn(txn, [this, request, spec, tries](const StateReply& r) {
         if (!take(request)) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -35,8 +35,8 @@
         std::function<void()> fresh;  // runs once the records are known to be current
     };
 
-    void reply(std::uint64_t request, int status, const std::string& uid,
-               const std::string& state, const std::string& error = "");
+    void reply(std::uint64_t request, int status, const std::string& uid, const std::string& state,
+               const std::string& error = "");
     void reply_job(std::uint64_t request, int status, const Job& job, bool counts);
     void reply_finished(std::uint64_t request, const std::string& uid, const Finished& f,
                         bool counts);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-double part(double amount, double of) { return of > 0 ? amount / of : 0; }
+double part(double amount, double of) {
+    return of > 0 ? amount / of : 0;
+}
 
 }  // namespace
 
@@ -165,8 +167,7 @@
     }
     Wait& w = waits_[job.spec.uid];
     bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
-    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) ||
-                better_elsewhere(m, job, room);
+    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) || better_elsewhere(m, job, room);
     if (pass && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s) {
         w.skipped = true;
         return false;
@@ -213,11 +214,10 @@
         // Less than what would fit, if the limit allows only that.
         while (n > 0 && (!quota_.within_limit(job.spec.team, job.spec.each * n) ||
                          !quota_.cover(job.spec.team, job.spec.each * n, txn))) {
-            next.placed.erase(std::prev(std::find_if(next.placed.rbegin(), next.placed.rend(),
-                                                     [&](const auto& p) {
-                                                         return p.second.attempt == next.attempt;
-                                                     })
-                                            .base()));
+            next.placed.erase(std::prev(
+                std::find_if(next.placed.rbegin(), next.placed.rend(), [&](const auto& p) {
+                    return p.second.attempt == next.attempt;
+                }).base()));
             --n;
             txn = {};
         }
@@ -293,8 +293,7 @@
         }
         Txn txn;
         Resources all = job.spec.each * job.spec.tasks;
-        if (!quota_.within_limit(job.spec.team, all) ||
-            !quota_.cover(job.spec.team, all, txn)) {
+        if (!quota_.within_limit(job.spec.team, all) || !quota_.cover(job.spec.team, all, txn)) {
             return false;
         }
         std::vector<std::string> names;
@@ -372,8 +371,7 @@
         };
         if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
             if (r.status == StateReply::Status::conflict) {
-                ctx_.debug("claim {}: lost to another change of {}", uid,
-                           fmt::join(r.failed, ","));
+                ctx_.debug("claim {}: lost to another change of {}", uid, fmt::join(r.failed, ","));
             }
             ctx_.when_at(r.revision, [this, claim, over] {
                 quota_.release(claim.team, claim.amount);
@@ -429,7 +427,9 @@
     }
 }
 
-void Scheduler::epoch_changed() { holds_.clear(); }
+void Scheduler::epoch_changed() {
+    holds_.clear();
+}
 
 void Scheduler::records_changed() {
     for (std::size_t i = 0; i < unknown_.size();) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -66,7 +66,7 @@
     Fleet& fleet_;
     Quota& quota_;
     std::map<std::string, Wait> waits_;
-    std::map<std::string, Hold> holds_;  // by machine
+    std::map<std::string, Hold> holds_;          // by machine
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
     double last_heartbeat_ = 0;
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -162,9 +162,13 @@
     }
 }
 
-void Gateway::act(const core::StateCall& call) { state_.call(call); }
+void Gateway::act(const core::StateCall& call) {
+    state_.call(call);
+}
 
-void Gateway::act(const core::CloudCall& call) { cloud_.call(call); }
+void Gateway::act(const core::CloudCall& call) {
+    cloud_.call(call);
+}
 
 HttpClient& Gateway::worker(const std::string& address) {
     auto& client = workers_[address];
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -18,8 +18,7 @@
     // Called with the response, or nullptr when none came in time.
     using Done = std::function<void(const HttpMessage*)>;
 
-    HttpClient(Loop& loop, std::string address, std::size_t connections_max,
-               std::size_t body_max);
+    HttpClient(Loop& loop, std::string address, std::size_t connections_max, std::size_t body_max);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -40,14 +39,13 @@
         bool retried = false;
     };
     struct Connection {
-        explicit Connection(std::size_t body_max)
-            : parser(HttpParser::Role::response, body_max) {}
+        explicit Connection(std::size_t body_max) : parser(HttpParser::Role::response, body_max) {}
         std::unique_ptr<Descriptor> descriptor;
         HttpParser parser;
         std::string out;
         std::unique_ptr<Call> call;
         std::unique_ptr<Timer> timer;
-        bool fresh = true;     // has not served a request yet
+        bool fresh = true;      // has not served a request yet
         bool answered = false;  // bytes of an answer have come
     };
 
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -159,9 +159,8 @@
         version = text.substr(second + 1);
         if (message_.method.empty() || message_.target.empty() ||
             !std::all_of(message_.method.begin(), message_.method.end(), token_char) ||
-            std::any_of(message_.target.begin(), message_.target.end(), [](unsigned char c) {
-                return c <= ' ' || c == 0x7f;
-            })) {
+            std::any_of(message_.target.begin(), message_.target.end(),
+                        [](unsigned char c) { return c <= ' ' || c == 0x7f; })) {
             return false;
         }
     } else {
@@ -241,9 +240,8 @@
         stage_ = role_ == Role::response ? Stage::until_close : Stage::complete;
         return;
     }
-    if (length->empty() || !std::all_of(length->begin(), length->end(), [](unsigned char c) {
-            return std::isdigit(c) != 0;
-        })) {
+    if (length->empty() || !std::all_of(length->begin(), length->end(),
+                                        [](unsigned char c) { return std::isdigit(c) != 0; })) {
         stage_ = Stage::bad;
         return;
     }
@@ -303,9 +301,8 @@
                 }
                 std::string digits = trim(text.substr(0, text.find(';')));
                 bool ok = !digits.empty() && digits.size() <= chunk_digits_max &&
-                          std::all_of(digits.begin(), digits.end(), [](unsigned char c) {
-                              return std::isxdigit(c) != 0;
-                          });
+                          std::all_of(digits.begin(), digits.end(),
+                                      [](unsigned char c) { return std::isxdigit(c) != 0; });
                 if (!ok) {
                     stage_ = Stage::bad;
                     break;
@@ -352,8 +349,7 @@
     return out + "\r\n" + body;
 }
 
-std::string http_response(int status, const std::string& body, bool keep_alive,
-                          int retry_after_s) {
+std::string http_response(int status, const std::string& body, bool keep_alive, int retry_after_s) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n";
     if (!body.empty()) {
         out += "Content-Type: application/cbor\r\n";
--- a/src/io/http_parser.hpp
+++ b/src/io/http_parser.hpp
@@ -41,8 +41,19 @@
     State end();
 
   private:
-    enum class Stage { start, headers, body, chunk_size, chunk, chunk_end, trailers, until_close,
-                       complete, bad, too_large };
+    enum class Stage {
+        start,
+        headers,
+        body,
+        chunk_size,
+        chunk,
+        chunk_end,
+        trailers,
+        until_close,
+        complete,
+        bad,
+        too_large
+    };
 
     State advance();
     bool line(std::string& out);
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -36,7 +36,9 @@
     }
 }
 
-Loop::~Loop() { ev_loop_destroy(loop_); }
+Loop::~Loop() {
+    ev_loop_destroy(loop_);
+}
 
 core::Now Loop::now() const {
     using namespace std::chrono;
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -19,7 +19,9 @@
     Loop& operator=(const Loop&) = delete;
     void run() { ev_run(loop_, 0); }
     void stop() { ev_break(loop_, EVBREAK_ALL); }
-    struct ev_loop* raw() { return loop_; }
+    struct ev_loop* raw() {
+        return loop_;
+    }
     core::Now now() const;
 
   private:
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -64,8 +64,8 @@
         RateBudget& budget = watch ? reopened_ : requests_;
         bool go = t >= w.not_before && budget.has(t, 1) && (watch || writes_.has(t, writes));
         if (!go) {
-            double after = std::max({w.not_before - t, budget.wait(t, 1),
-                                     watch ? 0.0 : writes_.wait(t, writes)});
+            double after = std::max(
+                {w.not_before - t, budget.wait(t, 1), watch ? 0.0 : writes_.wait(t, writes)});
             wait = std::min({wait, after, w.deadline - t});
             ++i;
             continue;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -63,8 +63,7 @@
     std::optional<double> amount_or_null(const char* key) {
         return null(key) ? std::nullopt : std::optional<double>(amount(key));
     }
-    std::uint64_t count(const char* key, std::uint64_t least = 0,
-                        std::uint64_t most = UINT64_MAX) {
+    std::uint64_t count(const char* key, std::uint64_t least = 0, std::uint64_t most = UINT64_MAX) {
         const Json* v = get(key);
         // CBOR's non-negative integers; a float, even 3.0, is no count.
         if (v == nullptr || !v->is_number_integer() ||
@@ -139,11 +138,14 @@
                                                              {"running", TaskState::running},
                                                              {"flushing", TaskState::saving},
                                                              {"ended", TaskState::exited}};
-constexpr std::pair<const char*, ExitReason> reasons[] = {
-    {"done", ExitReason::done},          {"halted", ExitReason::stopped},
-    {"mates_gone", ExitReason::peers_gone}, {"incomplete", ExitReason::incomplete},
-    {"error", ExitReason::error},        {"no_room", ExitReason::no_room},
-    {"busy", ExitReason::busy},          {"no_such", ExitReason::unknown_task}};
+constexpr std::pair<const char*, ExitReason> reasons[] = {{"done", ExitReason::done},
+                                                          {"halted", ExitReason::stopped},
+                                                          {"mates_gone", ExitReason::peers_gone},
+                                                          {"incomplete", ExitReason::incomplete},
+                                                          {"error", ExitReason::error},
+                                                          {"no_room", ExitReason::no_room},
+                                                          {"busy", ExitReason::busy},
+                                                          {"no_such", ExitReason::unknown_task}};
 constexpr std::pair<const char*, ListedState> listed_states[] = {
     {"starting", ListedState::starting},
     {"running", ListedState::running},
@@ -299,8 +301,9 @@
         v["uid"] = r.uid;
     }
     if (!r.state.empty()) {
-        v["stance"] = r.state == "queued" ? "pending" : r.state == "cancelled" ? "withdrawn"
-                                                                              : r.state;
+        v["stance"] = r.state == "queued"      ? "pending"
+                      : r.state == "cancelled" ? "withdrawn"
+                                               : r.state;
     }
     if (r.counts) {
         v["done"] = r.counts->first;
@@ -390,9 +393,8 @@
 }
 
 std::string orders_body(const OrderCall& call) {
-    return encode({{"crest", call.token},
-                   {"perch", call.session},
-                   {"calls", write_commands(call.commands)}});
+    return encode(
+        {{"crest", call.token}, {"perch", call.session}, {"calls", write_commands(call.commands)}});
 }
 
 // --- state service ------------------------------------------------------------------------
@@ -503,10 +505,9 @@
                     }
                     r.events.push_back(std::move(event));
                 }
-                std::stable_sort(r.events.begin(), r.events.end(),
-                                 [](const Event& a, const Event& b) {
-                                     return a.revision < b.revision;
-                                 });
+                std::stable_sort(
+                    r.events.begin(), r.events.end(),
+                    [](const Event& a, const Event& b) { return a.revision < b.revision; });
                 break;
             case StateCall::Kind::grant:
                 r.lease = v.at("tether").get<std::uint64_t>();
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -41,11 +41,9 @@
 };
 
 Request state_request(const core::StateCall& call);
-core::StateReply read_state_reply(const core::StateCall& call, int status,
-                                  const std::string& body);
+core::StateReply read_state_reply(const core::StateCall& call, int status, const std::string& body);
 Request cloud_request(const core::CloudCall& call);
-core::CloudReply read_cloud_reply(const core::CloudCall& call, int status,
-                                  const std::string& body);
+core::CloudReply read_cloud_reply(const core::CloudCall& call, int status, const std::string& body);
 
 // --- peers
 struct PeerMessage {
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+
+#include "config/settings.hpp"
+
+namespace cranemoor::config {
+namespace {
+
+const std::string good = R"(
+node_name = "n0"
+zone = "a"
+serve_on = "127.0.0.1:1"
+back = "127.0.0.1:2"
+unknown_field = 3
+[[known]]
+node_name = "n1"
+zone = "b"
+endpoint = "127.0.0.1:3"
+[services]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[settings]
+zones = ["a", "b"]
+[[settings.teams]]
+name = "red"
+gpus_max = 8.0
+[settings.workers]
+report_s = 3.0
+lease_s = 24.0
+gang_wait_s = 35.0
+gang_peer_s = 5.0
+cancel_s = 44.0
+[settings.state]
+rps = 150
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 12
+[settings.cloud]
+rps = 5.0
+[settings.machine_limits]
+max_connections = 1800
+)";
+
+std::string error_of(const std::string& text) {
+    try {
+        parse_settings(text, "s.toml");
+    } catch (const Error& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Settings, ReadsWhatIsNeededAndIgnoresWhatIsUnknown) {
+    auto s = parse_settings(good, "s.toml");
+    EXPECT_EQ(s.peers.at(0).name, "n1");
+    EXPECT_EQ(s.teams.at(0).limit.gpus, 8.0);
+    EXPECT_EQ(s.state_rps, 150.0);  // whole numbers serve as amounts too
+    EXPECT_EQ(s.max_connections, 1800);
+}
+
+TEST(Settings, AMissingOrWrongFieldIsNamedInOneLine) {
+    for (const char* line : {"node_name = \"n0\"", "lease_s = 24.0", "txn_ops = 12",
+                             "cloud = \"127.0.0.1:4\"", "zones = [\"a\", \"b\"]"}) {
+        auto text = good;
+        text.erase(text.find(line), std::string(line).size());
+        std::string key = std::string(line).substr(0, std::string(line).find(' '));
+        EXPECT_NE(error_of(text).find(key), std::string::npos) << line;
+    }
+    auto wrong = good;
+    wrong.replace(wrong.find("lease_s = 24.0"), 14, "lease_s = \"x\" ");
+    EXPECT_NE(error_of(wrong).find("settings.workers.lease_s"), std::string::npos);
+    EXPECT_NE(error_of("a = ").find("line 1"), std::string::npos);
+}
+
+std::string operators_error(const std::string& text) {
+    try {
+        parse_operators(text, "o.xml");
+    } catch (const Error& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Operators, ElementsAreReadAndRangeChecked) {
+    auto t = parse_operators("<cranemoor><locality-wait-s>7.5</locality-wait-s></cranemoor>", "o");
+    EXPECT_EQ(t.locality_wait_s, 7.5);
+    EXPECT_EQ(t.silence_s, core::Tunables().silence_s);
+    EXPECT_NE(operators_error("<cranemoor>\n<silence-s>1</silence-s></cranemoor>").find("line 2"),
+              std::string::npos);
+    EXPECT_NE(operators_error("<cranemoor><silence-s>9x</silence-s></cranemoor>"), "");
+}
+
+TEST(Operators, AnUnknownElementIsAnErrorThatNamesItsLine) {
+    auto e = operators_error("<cranemoor>\n\n  <wibble>1</wibble>\n</cranemoor>");
+    EXPECT_NE(e.find("line 3"), std::string::npos);
+    EXPECT_NE(e.find("wibble"), std::string::npos);
+    EXPECT_NE(operators_error("<other/>"), "");
+    EXPECT_NE(operators_error("<cranemoor>").find("line 1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace cranemoor::config
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -153,8 +153,8 @@
     ASSERT_EQ(start.commands.size(), 1U);
     EXPECT_EQ(w.answer(w.cancel(0, "req-000001")).state, "cancelled");
     auto done = bare_report("vm-100000", "a", token, 3);
-    done.tasks.push_back({{"req-000001", 0}, start.commands[0].attempt, TaskState::exited,
-                          ExitReason::done, false});
+    done.tasks.push_back(
+        {{"req-000001", 0}, start.commands[0].attempt, TaskState::exited, ExitReason::done, false});
     w.report(0, done);
     ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 10));
     EXPECT_EQ(w.poll_and_wait(0, "req-000001").state, "cancelled");
@@ -167,8 +167,8 @@
     Epoch before = *w.node(0).context().jobs.epoch();
     w.kill(1);
     w.start(1);
-    ASSERT_TRUE(w.until(
-        [&] { return w.node(0).context().jobs.epoch()->number > before.number; }, 10));
+    ASSERT_TRUE(
+        w.until([&] { return w.node(0).context().jobs.epoch()->number > before.number; }, 10));
     ASSERT_TRUE(w.until([&] { return w.all_members(3); }, 10));
     const Epoch& after = *w.node(0).context().jobs.epoch();
     EXPECT_NE(after.find("n1")->id, before.find("n1")->id);
@@ -329,8 +329,8 @@
     w.run(20);  // its lease still holds: World would see the task run twice
     EXPECT_EQ(w.places("req-000001"), std::vector<std::string>{first});
     w.cloud_down = false;
-    EXPECT_TRUE(w.until([&] { return w.places("req-000001") ==
-                                     std::vector<std::string>{"vm-900000"}; }, 40));
+    EXPECT_TRUE(w.until(
+        [&] { return w.places("req-000001") == std::vector<std::string>{"vm-900000"}; }, 40));
 }
 
 TEST_F(Story, ALaterSessionProvesThatTheTasksAreGone) {
@@ -354,8 +354,11 @@
     w.run(1);
     EXPECT_NE(w.stored("c/b/req-000001/0"), nullptr);
     auto late = bare_report("vm-100000", "a", token, 9);
-    late.tasks.push_back({{"req-000001", 0}, reply.commands[0].attempt, TaskState::running,
-                          ExitReason::none, false});
+    late.tasks.push_back({{"req-000001", 0},
+                          reply.commands[0].attempt,
+                          TaskState::running,
+                          ExitReason::none,
+                          false});
     auto stop = w.report(0, late);
     ASSERT_EQ(stop.commands.size(), 1U);
     EXPECT_EQ(stop.commands[0].kind, Command::Kind::stop);
@@ -556,7 +559,8 @@
     red.team = "red";
     w.submit(0, blue);
     w.submit(0, red);
-    ASSERT_TRUE(w.until([&] { return w.running("req-000002") + w.running("req-000003") == 4; }, 30));
+    ASSERT_TRUE(
+        w.until([&] { return w.running("req-000002") + w.running("req-000003") == 4; }, 30));
     EXPECT_EQ(w.running("req-000003"), 4);
 }
 
@@ -678,15 +682,16 @@
                 break;
             case 7:
                 if (!jobs.empty() && w.alive(node)) {
-                    w.cancel(node, jobs[static_cast<std::size_t>(pick(static_cast<int>(jobs.size())))]);
+                    w.cancel(node,
+                             jobs[static_cast<std::size_t>(pick(static_cast<int>(jobs.size())))]);
                 }
                 break;
             default: {
                 if (!w.alive(node)) {
                     break;
                 }
-                auto kind = std::array{JobKind::array, JobKind::gang, JobKind::service}[
-                    static_cast<std::size_t>(pick(3))];
+                auto kind = std::array{JobKind::array, JobKind::gang,
+                                       JobKind::service}[static_cast<std::size_t>(pick(3))];
                 auto spec = w.job(step + 1, kind, 1 + pick(4));
                 spec.team = pick(2) == 0 ? "red" : "blue";
                 spec.spread = pick(3) == 0;
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,186 @@
+// The wire's decoders on good, odd and malformed messages.
+#include <gtest/gtest.h>
+
+#include "wire/messages.hpp"
+
+namespace cranemoor::wire {
+namespace {
+
+using namespace core;
+
+Json submission() {
+    return {{"uid", "req-000412"}, {"flock", "train"},    {"crew", "vision"}, {"gait", "gang"},
+            {"rank", "high"},      {"hatchlings", 16},    {"cpus", 8.0},      {"gpus", 1.0},
+            {"mem_gb", 64.0},      {"plumage", "img-07"}, {"size_gb", 6.2},   {"breeds", {"g8"}},
+            {"marsh", nullptr},    {"together", true},    {"spread", false},  {"driftwood", true},
+            {"flight_s", 240.0},   {"nestmark_s", 30.0},  {"preen_s", 4.0},   {"dusk_s", 900.0}};
+}
+
+TEST(Wire, ReadsASubmission) {
+    auto read = read_submission(encode(submission()));
+    auto* s = std::get_if<JobSpec>(&read);
+    ASSERT_NE(s, nullptr);
+    EXPECT_EQ(s->uid, "req-000412");
+    EXPECT_EQ(s->kind, JobKind::gang);
+    EXPECT_EQ(s->priority, Priority::high);
+    EXPECT_EQ(s->tasks, 16);
+    EXPECT_EQ(s->types, std::vector<std::string>{"g8"});
+    EXPECT_FALSE(s->zone);
+    EXPECT_EQ(s->deadline_s, 900.0);
+}
+
+TEST(Wire, FieldsThatMayBeNullMayBeMissingAndUnknownOnesAreIgnored) {
+    auto v = submission();
+    v.erase("breeds");
+    v.erase("marsh");
+    v.erase("dusk_s");
+    v["plume_colour"] = "red";
+    auto read = read_submission(encode(v));
+    EXPECT_TRUE(std::holds_alternative<JobSpec>(read));
+}
+
+TEST(Wire, EveryNeededFieldIsNeededAndChecked) {
+    const Json whole = submission();
+    for (const auto& [key, value] : whole.items()) {
+        if (key == "breeds" || key == "marsh" || key == "dusk_s") {
+            continue;
+        }
+        auto without = submission();
+        without.erase(key);
+        EXPECT_TRUE(std::holds_alternative<Invalid>(read_submission(encode(without)))) << key;
+        auto wrong = submission();
+        wrong[key] = Json::array();
+        EXPECT_TRUE(std::holds_alternative<Invalid>(read_submission(encode(wrong)))) << key;
+    }
+}
+
+TEST(Wire, OutOfRangeIsInvalidAndNamesTheField) {
+    const std::pair<const char*, Json> cases[] = {
+        {"hatchlings", 0}, {"hatchlings", 100001}, {"hatchlings", 1.5}, {"hatchlings", -1},
+        {"cpus", -1.0},    {"cpus", std::nan("")}, {"gait", "swarm"},   {"rank", "urgent"},
+        {"together", 1},   {"breeds", {1}},        {"marsh", 7},        {"dusk_s", "soon"}};
+    for (const auto& [key, value] : cases) {
+        auto v = submission();
+        v[key] = value;
+        auto read = read_submission(encode(v));
+        auto* invalid = std::get_if<Invalid>(&read);
+        ASSERT_NE(invalid, nullptr) << key;
+        EXPECT_EQ(invalid->uid, "req-000412");
+        EXPECT_NE(invalid->error.find(key), std::string::npos) << invalid->error;
+    }
+    for (const char* uid : {"", "req-", "job-000412", "req-12a", "req-000412/1"}) {
+        auto v = submission();
+        v["uid"] = uid;
+        auto read = read_submission(encode(v));
+        ASSERT_TRUE(std::holds_alternative<Invalid>(read)) << uid;
+        EXPECT_FALSE(std::get<Invalid>(read).uid);
+    }
+}
+
+TEST(Wire, WhatIsNotCborIsRefusedHoweverDeep) {
+    EXPECT_FALSE(decode(""));
+    EXPECT_FALSE(decode("{\"uid\":1}"));
+    EXPECT_FALSE(decode(encode(submission()) + "x"));
+    auto text = encode(submission());
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        EXPECT_FALSE(decode(text.substr(0, n))) << n;
+    }
+    // Nothing but opening brackets, or maps in maps: must not exhaust the stack.
+    EXPECT_FALSE(decode(std::string(64 * 1024, '\x81')));
+    EXPECT_FALSE(decode(std::string(64 * 1024, '\xa1')));
+    EXPECT_FALSE(decode(std::string("\x41z", 2)));  // binary
+    EXPECT_TRUE(std::holds_alternative<Invalid>(read_submission(encode(Json::array()))));
+}
+
+TEST(Wire, ReportsSurviveTheWayThroughARelay) {
+    Report r{"vm-1",
+             "10.1.0.1:9",
+             "g8",
+             "a",
+             true,
+             2,
+             88,
+             41,
+             7.5,
+             {{{"req-000412", 3}, 2, TaskState::running, ExitReason::none, false},
+              {{"req-000398", 0}, 1, TaskState::exited, ExitReason::stopped, true}}};
+    auto back = read_report(*decode(encode(write_report(r))));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->session, 2U);
+    EXPECT_EQ(back->notice_s, 7.5);
+    ASSERT_EQ(back->tasks.size(), 2U);
+    EXPECT_EQ(back->tasks[1].why, ExitReason::stopped);
+    EXPECT_TRUE(back->tasks[1].saved);
+    WorkerReply reply{0, 200, 41, "", {{Command::Kind::stop, {"req-000412", 3}, 2, 10}}};
+    auto answer = read_peer_reply(peer_reply_body(reply));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->commands[0].grace_s, 10);
+    EXPECT_EQ(answer->token, 41U);
+}
+
+TEST(Wire, AnUnreadableReportIsNone) {
+    auto good = write_report({"vm-1", "x:1", "g8", "a", false, 1, 1, 0, std::nullopt, {}});
+    ASSERT_TRUE(read_report(good));
+    for (const char* task : {"req-000412", "/3", "req-000412/", "req-000412/x", "a/999999999"}) {
+        auto bad = good;
+        bad["hatchlings"] = {{{"hatchling", task}, {"launch", 1}, {"stance", "running"}}};
+        EXPECT_FALSE(read_report(bad)) << task;
+    }
+    auto cause = good;
+    cause["hatchlings"] = {
+        {{"hatchling", "req-000412/1"}, {"launch", 1}, {"stance", "ended"}, {"cause", "meteor"}}};
+    ASSERT_TRUE(read_report(cause));  // a cause of a later version still ends the task
+    EXPECT_EQ(read_report(cause)->tasks[0].why, ExitReason::other);
+}
+
+TEST(Wire, StateAnswersByStatus) {
+    StateCall txn;
+    auto status = [&](int code, const Json& body) {
+        return read_state_reply(txn, code, encode(body)).status;
+    };
+    using S = StateReply::Status;
+    EXPECT_EQ(status(200, {{"tide", 432}}), S::ok);
+    EXPECT_EQ(status(409, {{"failed", {"a/b"}}, {"tide", 431}}), S::conflict);
+    EXPECT_EQ(status(404, {{"tide", 1}}), S::not_found);
+    EXPECT_EQ(status(410, Json::object()), S::compacted);
+    EXPECT_EQ(status(429, Json::object()), S::refused);
+    EXPECT_EQ(status(503, Json::object()), S::refused);
+    EXPECT_EQ(status(400, {{"error", "no such lease"}}), S::bad);
+    EXPECT_EQ(status(500, Json::object()), S::unknown);
+    StateCall watch;
+    watch.kind = StateCall::Kind::watch;
+    auto r = read_state_reply(watch, 200,
+                              encode({{"tide", 433},
+                                      {"log",
+                                       {{{"put", "c/9"}, {"value", {{"a", 1}}}, {"ripple", 433}},
+                                        {{"drop", "c/d"}, {"ripple", 432}}}}}));
+    ASSERT_EQ(r.events.size(), 2U);
+    EXPECT_EQ(r.events[0].key, "c/d");  // in order of revision
+    EXPECT_FALSE(r.events[0].value);
+    EXPECT_EQ(read_state_reply(watch, 200, "garbage").status, S::unknown);
+}
+
+TEST(Wire, CloudAnswersByStatus) {
+    CloudCall rent;
+    rent.kind = CloudCall::Kind::rent;
+    using S = CloudReply::Status;
+    EXPECT_EQ(read_cloud_reply(rent, 503, encode({{"error", "no capacity"}})).status,
+              S::no_capacity);
+    EXPECT_EQ(read_cloud_reply(rent, 503, encode({{"error", "trouble"}})).status, S::unknown);
+    EXPECT_EQ(read_cloud_reply(rent, 429, "").status, S::refused);
+    EXPECT_EQ(read_cloud_reply(rent, 400, "").status, S::bad);
+    auto ok = read_cloud_reply(rent, 200, encode({{"roosts", {"vm-1"}}}));
+    EXPECT_EQ(ok.machines, std::vector<std::string>{"vm-1"});
+    EXPECT_EQ(read_cloud_reply(rent, 200, encode({{"roosts", 7}})).status, S::unknown);
+}
+
+TEST(Wire, TargetsAreEscaped) {
+    StateCall list;
+    list.kind = StateCall::Kind::list;
+    list.key = "c/";
+    list.after = "c/q/a%20b";
+    EXPECT_EQ(state_request(list).target, "/kv?under=c/&from=c/q/a%2520b&most=1000");
+}
+
+}  // namespace
+}  // namespace cranemoor::wire
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 constexpr double tick_s = 0.05;
-MachineType type8() { return {"t8", {64, 8, 512}, 100, 1, 10, 3, 5, {"a", "b", "c"}}; }
+MachineType type8() {
+    return {"t8", {64, 8, 512}, 100, 1, 10, 3, 5, {"a", "b", "c"}};
+}
 bool present(const FakeTask& t) {
     return t.state != TaskState::exited && t.state != TaskState::fetching;
 }
@@ -63,8 +65,7 @@
     n.generation++;
     Tunables tunables;
     tunables.headroom_machines = 0;
-    n.core = std::make_unique<Controller>(s, tunables,
-                                          fmt::format("boot{}-{}", i, n.generation));
+    n.core = std::make_unique<Controller>(s, tunables, fmt::format("boot{}-{}", i, n.generation));
     n.core->start(time());
     drain(i);
 }
@@ -265,7 +266,8 @@
         }
         if (!lost) {
             after(delay(), [=, this] {
-                to_node(i, generation, [&](Controller& c) { c.state_reply(time(), call.id, reply); });
+                to_node(i, generation,
+                        [&](Controller& c) { c.state_reply(time(), call.id, reply); });
             });
         }
     });
@@ -405,8 +407,8 @@
 // --- workers
 
 Report World::make_report(FakeMachine& m) {
-    Report r{m.info.name, m.info.name, "t8",       m.info.zone, m.info.spot,
-             m.session,   ++m.seq,     m.token,    m.notice_s,  {}};
+    Report r{m.info.name, m.info.name, "t8",    m.info.zone, m.info.spot,
+             m.session,   ++m.seq,     m.token, m.notice_s,  {}};
     for (const auto& [id, attempts] : m.tasks) {
         for (const auto& [attempt, t] : attempts) {
             r.tasks.push_back({id, attempt, t.state, t.why, t.saved});
@@ -479,9 +481,8 @@
             it->second.saved = c.grace_s > 0;
         }
     } else if (it == attempts.end()) {
-        bool live = std::any_of(attempts.begin(), attempts.end(), [](const auto& a) {
-            return a.second.state != TaskState::exited;
-        });
+        bool live = std::any_of(attempts.begin(), attempts.end(),
+                                [](const auto& a) { return a.second.state != TaskState::exited; });
         Resources left = type8().size;
         for (const auto& [id, others] : m.tasks) {
             for (const auto& [a, t] : others) {
@@ -523,8 +524,8 @@
     Report r = make_report(m);
     std::size_t target = m.target;
     int generation = nodes_[target].generation;
-    bool lost = m.zone_cut || workers_cut.count(static_cast<int>(target)) != 0 ||
-                !nodes_[target].core;
+    bool lost =
+        m.zone_cut || workers_cut.count(static_cast<int>(target)) != 0 || !nodes_[target].core;
     std::string name = m.info.name;
     std::uint64_t session = m.session;
     double sent = now;
@@ -650,8 +651,7 @@
         OrderReply reply;
         auto it = machines.find(call.address);
         bool reach = it != machines.end() && !it->second.deleted && !it->second.hangs &&
-                     !it->second.zone_cut && now >= it->second.up_at &&
-                     workers_cut.count(i) == 0;
+                     !it->second.zone_cut && now >= it->second.up_at && workers_cut.count(i) == 0;
         if (reach) {
             FakeMachine& m = it->second;
             reply.answered = true;
@@ -779,7 +779,9 @@
     return it == replies_.end() ? none : it->second;
 }
 
-int World::running(const std::string& uid) const { return static_cast<int>(places(uid).size()); }
+int World::running(const std::string& uid) const {
+    return static_cast<int>(places(uid).size());
+}
 
 std::vector<std::string> World::places(const std::string& uid) const {
     std::vector<std::string> list;
@@ -811,6 +813,9 @@
             continue;
         }
         for (const auto& [name, m] : machines) {
+            if (m.hangs && now - m.lease_from > settings.lease_s) {
+                continue;  // whatever hangs there has ended with its lease
+            }
             for (const auto& [id, attempts] : m.tasks) {
                 for (const auto& [attempt, t] : attempts) {
                     if (id.uid == uid && t.state != TaskState::exited) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -84,12 +84,12 @@
     // --- troubles
     bool state_down = false;
     bool cloud_down = false;
-    std::set<int> state_refused;           // nodes that the state service refuses
-    std::set<int> workers_cut;             // nodes that no worker reaches
+    std::set<int> state_refused;  // nodes that the state service refuses
+    std::set<int> workers_cut;    // nodes that no worker reaches
     std::set<std::pair<int, int>> peers_cut;
-    double lost_answers = 0;               // probability that an answer of the state service is lost
-    double late_txn = 0;                   // probability that a transaction is executed late
-    double slow = 0;                       // probability that a message takes long
+    double lost_answers = 0;  // probability that an answer of the state service is lost
+    double late_txn = 0;      // probability that a transaction is executed late
+    double slow = 0;          // probability that a message takes long
     int capacity = 1000;
 
     double now = 0;
@@ -111,7 +111,9 @@
         double at;
         std::uint64_t order;
         std::function<void()> what;
-        bool operator<(const Item& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+        bool operator<(const Item& o) const {
+            return std::tie(at, order) > std::tie(o.at, o.order);
+        }
     };
     struct Stored {
         Json value;
