--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -64,6 +64,9 @@
     double running_since = -1;  // first listed as running
     double empty_since = -1;    // no placements since, -1: has some
 
+    // Up as far as known here: only its owner gets its reports, the others have the list.
+    bool up() const { return reported || running_since >= 0; }
+
     // images it is thought to have cached, most recently used first
     std::list<std::pair<std::string, double>> images;
 };
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -174,7 +174,7 @@
     // Machines that never came up are charged until they are given back.
     for (auto& [name, m] : fleet_.machines()) {
         const MachineType* type = fleet_.type(m.type);
-        if (type == nullptr || m.reported || ctx_.jobs.mark(name) != nullptr) {
+        if (type == nullptr || m.up() || ctx_.jobs.mark(name) != nullptr) {
             continue;
         }
         bool starting = m.listed_state == ListedState::starting;
@@ -184,8 +184,7 @@
     }
     std::vector<Machine*> empty;
     for (auto& [name, m] : fleet_.machines()) {
-        bool up = m.reported || m.running_since >= 0;
-        if (up && !m.marking && ctx_.jobs.mark(name) == nullptr && m.empty_since >= 0 &&
+        if (m.up() && !m.marking && ctx_.jobs.mark(name) == nullptr && m.empty_since >= 0 &&
             ctx_.jobs.on_machine(name).empty()) {
             empty.push_back(&m);
         }
@@ -219,7 +218,7 @@
             continue;
         }
         double age = ctx_.now.steady - m.born;
-        if (!m.reported && age > type->boot_s * constants::boot_late_factor) {
+        if (!m.up() && age > type->boot_s * constants::boot_late_factor) {
             continue;  // it may still come, but nobody should wait for it
         }
         list.push_back(
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -110,7 +110,7 @@
     }
     (void)room;
     for (const auto& [name, other] : fleet_.machines()) {
-        if (name == m.name || ctx_.jobs.on_machine(name).empty() || !other.reported ||
+        if (name == m.name || ctx_.jobs.on_machine(name).empty() || !other.up() ||
             ctx_.jobs.mark(name) != nullptr || other.notice_until || !allowed(job, other)) {
             continue;
         }
@@ -255,7 +255,7 @@
     };
     std::map<std::string, std::vector<Bin>> zones;
     for (const auto& [name, other] : fleet_.machines()) {
-        bool known = other.reported || (other.listed && other.running_since >= 0);
+        bool known = other.up();
         bool ok = other.mine ? fleet_.usable(other)
                              : known && ctx_.jobs.mark(name) == nullptr && !other.notice_until;
         if (!ok || !allowed(job, other)) {
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -628,6 +628,24 @@
     EXPECT_TRUE(w.until([&] { return w.machines_up() == 0; }, 120));
 }
 
+TEST_F(Three, EmptyMachinesOfOtherMembersCountAsRoom) {
+    // Found in a day's log: the leading member took machines that report to others for machines
+    // that never came up, and rented more while they stood empty.
+    begin(3);
+    for (const char* zone : {"a", "b", "c"}) {
+        w.add_machine(std::string("vm-50000") + zone, zone);
+    }
+    w.run(20);  // longer than a late boot
+    int before = w.rentals;
+    for (int i = 1; i <= 3; ++i) {
+        auto gang = w.job(i, JobKind::gang);
+        gang.each = {60, 8, 400};
+        w.submit_and_wait(0, gang);
+    }
+    w.run(3);
+    EXPECT_EQ(w.rentals, before);
+}
+
 TEST_F(Story, AMachineNobodyAskedForIsUsedOrReturned) {
     begin();
     w.add_machine("vm-777777", "b");
