--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -869,6 +869,12 @@
         Machine& m = it->second;
         const Mark* mk = ctx_.jobs.mark(m.name);
         double heard = std::max(m.last_report, m.owned_since);
+        if (mk != nullptr && mk->gone) {
+            m.gone = true;
+        } else if (m.gone && mk == nullptr && !m.request) {
+            it = machines_.erase(it);  // its mark was retired: nothing is left of it
+            continue;
+        }
         bool forgettable = ctx_.jobs.on_machine(m.name).empty() && mk == nullptr && !m.request &&
                            t - heard > constants::gone_mark_s &&
                            t - m.listed_at > constants::gone_mark_s;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -50,6 +50,7 @@
     bool probing = false;
     int probe_failures = 0;
     bool marking = false;
+    bool gone = false;  // the cloud confirmed its release
 
     // the report that waits for its answer
     std::optional<std::uint64_t> request;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -306,12 +306,15 @@
             }
             planned[s.team] = sum;
             Bin* found = nullptr;
+            // A job that may use cheap machines takes an empty ordinary one only if no cheap
+            // one can be had.
+            bool cheap = s.spot && pick_zone(type->name, true, only, load);
             for (auto& b : free) {
                 bool type_ok = !s.types || std::find(s.types->begin(), s.types->end(), b.type) !=
                                                s.types->end();
                 bool spread_ok = !s.spread || in_zone[b.zone] < (s.tasks + 1) / 2;
                 if (type_ok && spread_ok && (!only || *only == b.zone) && (!b.spot || s.spot) &&
-                    s.each.fits_in(b.room)) {
+                    (!cheap || b.spot || !b.empty) && s.each.fits_in(b.room)) {
                     found = &b;
                     break;
                 }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -101,20 +101,32 @@
     return std::max(0, (size + 1) / 2 - there);
 }
 
-bool Scheduler::better_elsewhere(const Machine& m, const Job& job, const Resources& room) const {
-    // Keeps empty machines whole for gangs that need one: a small task lets an empty machine
-    // pass, as it would one without its image, while a machine in use has room for it.
-    const MachineType* t = fleet_.type(m.type);
-    if (t == nullptr || job.spec.kind == JobKind::gang || !ctx_.jobs.on_machine(m.name).empty()) {
+int Scheduler::rank(const Machine& m, const Job& job) const {
+    // Cheap machines first for jobs that may use them, machines in use next, and empty ordinary
+    // ones last: those are kept whole for gangs that need one.
+    if (m.spot) {
+        return 0;
+    }
+    if (job.spec.kind == JobKind::gang && job.done() == 0) {
+        return 1;
+    }
+    return ctx_.jobs.on_machine(m.name).empty() ? 2 : 1;
+}
+
+// Whether a better machine than this one has room for the job, or will have soon. The job then
+// lets this one pass, as it would one without its image, and for no longer than that.
+bool Scheduler::better_elsewhere(const Machine& m, const Job& job) const {
+    int here = rank(m, job);
+    if (here == 0) {
         return false;
     }
-    (void)room;
+    bool local = fleet_.has_image(m, job.spec.image);
     for (const auto& [name, other] : fleet_.machines()) {
-        if (name == m.name || ctx_.jobs.on_machine(name).empty() || !other.up() ||
-            ctx_.jobs.mark(name) != nullptr || other.notice_until || !allowed(job, other)) {
+        if (rank(other, job) >= here || !other.up() || ctx_.jobs.mark(name) != nullptr ||
+            other.notice_until || !allowed(job, other)) {
             continue;
         }
-        if (fleet_.has_image(m, job.spec.image) && !fleet_.has_image(other, job.spec.image)) {
+        if (local && !fleet_.has_image(other, job.spec.image)) {
             continue;
         }
         if (job.spec.each.fits_in(fleet_.room(other))) {
@@ -167,7 +179,7 @@
     }
     Wait& w = waits_[job.spec.uid];
     bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
-    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) || better_elsewhere(m, job, room);
+    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) || better_elsewhere(m, job);
     if (pass && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s) {
         w.skipped = true;
         return false;
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -55,7 +55,8 @@
     bool walk_one(Machine& m, const Job& job, Resources& room);
     int claim_tasks(Machine& m, const Job& job, const Resources& room);
     bool claim_gang(Machine& m, const Job& job);
-    bool better_elsewhere(const Machine& m, const Job& job, const Resources& room) const;
+    int rank(const Machine& m, const Job& job) const;
+    bool better_elsewhere(const Machine& m, const Job& job) const;
     void send_claim(const Job& job, const std::map<int, Block>& blocks,
                     const std::vector<std::string>& machines, int tasks, Txn txn);
     void hold_for(const Job& job);
