--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -73,6 +73,16 @@
 // finished jobs whose final state is kept in memory; the state service keeps all
 inline constexpr std::size_t finished_cache = 20000;
 
+// --- scheduling ---------------------------------------------------------------------------
+// s between looks for work that must make room
+inline constexpr double preempt_every_s = 0.2;
+// s a job waits before it may stop others: a report of a machine with room may be under way
+inline constexpr double preempt_after_s = 0.4;
+// s between two times that room is made for the same job; the freed room is held that long
+inline constexpr double preempt_pause_s = 5.0;
+// s a gang waits before it may stop lower work for a whole machine: about a boot
+inline constexpr double gang_preempt_s = 30.0;
+
 // --- users --------------------------------------------------------------------------------
 // s; what a user is told to wait when the service can't take the request now
 inline constexpr int retry_after_s = 1;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -39,6 +39,7 @@
     ctx_.now = now;
     members_.tick();
     fleet_.tick();
+    scheduler_.tick();
     quota_.tick();
     provisioner_.tick();
     requests_.tick();
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -790,8 +790,14 @@
     return it == failures_.end() ? -1e9 : it->second.not_before;
 }
 
+double Fleet::placed_at(const TaskId& id) const {
+    auto it = placed_at_.find(id);
+    return it == placed_at_.end() ? ctx_.now.steady : it->second;
+}
+
 void Fleet::records_changed() {
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
+        placed_at_[id] = ctx_.now.steady;
         const Job* job = ctx_.jobs.find(id.uid);
         if (job == nullptr) {
             continue;
@@ -855,6 +861,8 @@
 
 void Fleet::tick() {
     double t = ctx_.now.steady;
+    std::erase_if(placed_at_,
+                  [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
     int mine = 0;
     int silent = 0;
     for (auto& [name, m] : machines_) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -106,6 +106,8 @@
     void mark(Machine& m, const std::string& why, bool fence);
     // A job whose tasks fail is left alone until then.
     double job_pause_until(const std::string& uid) const;
+    // When a task's placement was first seen here.
+    double placed_at(const TaskId& id) const;
     // Writes what was observed; also called when earlier writes are done.
     void flush();
     static bool gang_broken(const Job& job);
@@ -144,6 +146,7 @@
     std::vector<MachineType> types_;
     std::map<std::string, std::map<int, Outcome>> outcomes_;  // by job, by task
     std::map<std::string, Failures> failures_;
+    std::map<TaskId, double> placed_at_;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
 };
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -42,6 +42,13 @@
     struct Hold {
         std::string uid;
         double until = 0;
+        Priority priority = Priority::normal;
+    };
+    struct Victims {
+        Machine* machine = nullptr;
+        std::vector<TaskId> tasks;
+        double lost_s = 0;
+        bool local = false;
     };
     // A claim whose outcome is open: counted until the records tell.
     struct Claim {
@@ -59,6 +66,11 @@
     bool better_elsewhere(const Machine& m, const Job& job) const;
     void send_claim(const Job& job, const std::map<int, Block>& blocks,
                     const std::vector<std::string>& machines, int tasks, Txn txn);
+    // Stops lower or borrowed work where a job may demand that and nothing else helps it.
+    void preempt();
+    bool may_preempt(const Job& job, const Job& victim, double waited) const;
+    std::optional<Victims> victims_on(Machine& m, const Job& job, double waited) const;
+    bool below_guarantee(const std::string& team, const Resources& more) const;
     void hold_for(const Job& job);
     const Machine* candidate_for_hold(const Job& job) const;
 
@@ -70,7 +82,10 @@
     std::map<std::string, Hold> holds_;          // by machine
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
+    std::map<std::string, double> open_since_;    // jobs with tasks to place
+    std::map<std::string, double> preempted_at_;  // by job that room was made for
     double last_heartbeat_ = 0;
+    double next_preempt_ = 0;
 };
 
 }  // namespace cranemoor::core
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -585,6 +585,41 @@
     ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 240));
 }
 
+TEST_F(Story, HigherPriorityStopsTheNewestLowerWorkAndNothingElse) {
+    w.run_s = 100;
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, w.job(1, JobKind::array, 7));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 7; }, 30));
+    w.submit_and_wait(0, w.job(2, JobKind::array, 1));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000002") == 1; }, 30));
+    auto same = w.job(3, JobKind::service);
+    w.submit_and_wait(0, same);
+    w.run(20);
+    EXPECT_EQ(w.running("req-000003"), 0);  // equal priority stops nobody
+    auto urgent = w.job(4, JobKind::service);
+    urgent.priority = Priority::production;
+    w.submit_and_wait(0, urgent);
+    EXPECT_TRUE(w.until([&] { return w.running("req-000004") == 1; }, 8));
+    EXPECT_EQ(w.running("req-000001"), 7);
+    EXPECT_EQ(w.running("req-000002"), 0);
+}
+
+TEST_F(Story, ATeamBelowItsGuaranteeGetsItAfterTheTimeout) {
+    w.run_s = 200;
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.add_machine("vm-500001", "a");
+    w.submit_and_wait(0, w.job(1, JobKind::array, 16));  // blue: twice its guarantee
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 16; }, 30));
+    auto red = w.job(2, JobKind::array, 2);
+    red.team = "red";
+    w.submit_and_wait(0, red);
+    EXPECT_TRUE(w.until([&] { return w.running("req-000002") == 2; }, 60));
+}
+
 TEST_F(Story, AMachineThatFailsEveryTaskIsSetAsideAndReturned) {
     begin();
     w.add_machine("vm-000000", "a").fails_tasks = true;
