--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -19,7 +19,7 @@
     // seconds an empty machine beyond the headroom is kept: a boot costs more than that
     double idle_return_s = 45.0;
     // seconds without a report after which a machine is probed and then fenced
-    double silence_s = 9.0;
+    double silence_s = 6.0;
 };
 
 namespace constants {
@@ -100,6 +100,9 @@
 inline constexpr double idle_hold_s = 2.0;
 // s within which a worker that comes back to a wrong controller is taken as cut off from its own
 inline constexpr double relay_window_s = 9.0;
+// s after which a worker cut off from its controller has found a way round: two timeouts of
+// 4 s, a pause of 1 s after each, and the relay itself
+inline constexpr double relay_detour_s = 12.5;
 // s a relayed report may take
 inline constexpr double relay_timeout_s = 2.5;
 // s a direct command or probe may take
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -908,6 +908,11 @@
         } else if (m.reported || placed) {
             double quiet = t - heard;
             double limit = ctx_.tunables.silence_s;
+            if (silent == mine) {
+                // Perhaps only the way to it is cut: a worker needs this long to come back by
+                // way of another controller, which relays its reports.
+                limit = std::max(limit, constants::relay_detour_s);
+            }
             if (suspect_self) {
                 limit = ctx_.settings.lease_s + ctx_.tunables.silence_s;
             }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -559,6 +559,10 @@
         for (auto& [name, m] : fleet_.machines()) {
             bool ok = m.up() && !m.notice_until && !m.marking && !m.gone &&
                       ctx_.jobs.mark(name) == nullptr && allowed(*job, m);
+            // Room made for one job serves no second one.
+            auto held = holds_.find(name);
+            ok = ok && (held == holds_.end() || held->second.uid == s.uid ||
+                        held->second.until < ctx_.now.steady);
             if (!ok) {
                 continue;
             }
@@ -584,6 +588,7 @@
         // Every controller comes to the same choice; the machine's owner carries it out.
         preempted_at_[s.uid] = ctx_.now.steady;
         Machine& m = *best->machine;
+        holds_[m.name] = {s.uid, ctx_.now.steady + constants::preempt_pause_s, s.priority};
         if (!fleet_.usable(m)) {
             continue;
         }
@@ -593,7 +598,6 @@
                 fleet_.stop(m, {id, p->attempt}, 0);
             }
         }
-        holds_[m.name] = {s.uid, ctx_.now.steady + constants::preempt_pause_s, s.priority};
     }
 }
 
