--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -74,6 +74,9 @@
 inline constexpr std::size_t finished_cache = 20000;
 
 // --- scheduling ---------------------------------------------------------------------------
+// s a job lets a machine pass that is busy fetching another image; most machines come up within
+// that time of each other
+inline constexpr double fetch_pass_s = 10.0;
 // s between looks for work that must make room
 inline constexpr double preempt_every_s = 0.2;
 // s a job waits before it may stop others: a report of a machine with room may be under way
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -339,6 +339,15 @@
     }
 }
 
+// A proof that a place is empty holds only while this process commands the machine: another
+// owner may start the very claim that was found absent. What could not be written by then must
+// never be, however true it was; the next owner sees for itself.
+void Fleet::forget_outcomes(const std::string& machine) {
+    for (auto& [uid, tasks] : outcomes_) {
+        std::erase_if(tasks, [&](const auto& t) { return t.second.machine == machine; });
+    }
+}
+
 bool Fleet::outcomes_pending(const Machine& m) const {
     for (const auto& id : ctx_.jobs.on_machine(m.name)) {
         auto it = outcomes_.find(id.uid);
@@ -647,6 +656,7 @@
         }
         m.mine = mine;
         m.adopted = false;
+        forget_outcomes(name);
         m.run_sent.clear();
         m.seen.clear();
         m.stops.clear();
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -138,6 +138,7 @@
     void touch_image(Machine& m, const std::string& image, double gb);
     void refuse(std::uint64_t request, int status, const std::string& home = "");
     void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
+    void forget_outcomes(const std::string& machine);
     bool outcomes_pending(const Machine& m) const;
 
     Context& ctx_;
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -84,6 +84,12 @@
     if (!within(next.total(), *t)) {
         return false;
     }
+    for (auto& w : txn.writes) {
+        if (w.key == key) {
+            w.value = encode(next);  // an earlier claim of the same transaction grew it already
+            return true;
+        }
+    }
     txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
     txn.writes.push_back({key, encode(next)});
     return true;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -145,6 +145,7 @@
             w.skipped = false;
         }
     }
+    batch_images_.clear();
     Resources room = fleet_.room(m);
     if (auto r = reserved_.find(m.name); r != reserved_.end()) {
         room -= r->second;
@@ -165,6 +166,7 @@
             walk_one(m, *job, room);
         }
     }
+    send_batch();
 }
 
 bool Scheduler::walk_one(Machine& m, const Job& job, Resources& room) {
@@ -181,8 +183,10 @@
     }
     Wait& w = waits_[job.spec.uid];
     bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
-    bool pass = (!local && fleet_.image_anywhere(job.spec.image)) || better_elsewhere(m, job);
-    if (pass && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s) {
+    bool fetch_waits = !local && slow_fetch(m, job.spec);
+    bool pass = fetch_waits || (!local && fleet_.image_anywhere(job.spec.image)) ||
+                better_elsewhere(m, job);
+    if (pass && w.level == 0 && w.wait < longest_pass(m, job.spec, fetch_waits)) {
         w.skipped = true;
         return false;
     }
@@ -202,6 +206,39 @@
     return n > 0;
 }
 
+// Whether the machine is fetching another image already: two fetches share its rate, and both
+// images would be late.
+bool Scheduler::slow_fetch(const Machine& m, const JobSpec& spec) const {
+    for (const auto& image : batch_images_) {
+        if (image != spec.image) {
+            return true;
+        }
+    }
+    if (batch_images_.count(spec.image) != 0) {
+        return false;
+    }
+    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
+        const Job* other = ctx_.jobs.find(id.uid);
+        const Placement* p = ctx_.jobs.placement(id);
+        if (other == nullptr || p == nullptr || other->spec.image == spec.image) {
+            continue;
+        }
+        auto t = m.tasks.find({id, p->attempt});
+        if (t == m.tasks.end() || t->second.state == TaskState::fetching) {
+            return true;
+        }
+    }
+    return false;
+}
+
+double Scheduler::longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const {
+    const MachineType* t = fleet_.type(m.type);
+    double fetch = t != nullptr && t->fetch_gb_per_s > 0 ? spec.image_gb / t->fetch_gb_per_s : 0;
+    double most = fetch_waits ? constants::fetch_pass_s : ctx_.tunables.locality_wait_s;
+    // Waiting longer than the fetch itself takes can't pay, except for a better machine.
+    return fetch_waits ? std::min(most, std::max(fetch, ctx_.tunables.locality_wait_s)) : most;
+}
+
 int Scheduler::claim_tasks(Machine& m, const Job& job, const Resources& room) {
     int fits = 0;
     Resources left = room;
@@ -224,22 +261,21 @@
                 ++n;
             }
         }
-        Txn txn;
         // Less than what would fit, if the limit allows only that.
         while (n > 0 && (!quota_.within_limit(job.spec.team, job.spec.each * n) ||
-                         !quota_.cover(job.spec.team, job.spec.each * n, txn))) {
+                         !quota_.cover(job.spec.team, job.spec.each * n, batch_.txn))) {
             next.placed.erase(std::prev(
                 std::find_if(next.placed.rbegin(), next.placed.rend(), [&](const auto& p) {
                     return p.second.attempt == next.attempt;
                 }).base()));
             --n;
-            txn = {};
         }
         if (n == 0) {
             continue;
         }
-        send_claim(job, {{k, next}}, std::vector<std::string>(static_cast<std::size_t>(n), m.name),
-                   n, std::move(txn));
+        batch_images_.insert(job.spec.image);
+        add_claim(job, {{k, next}}, std::vector<std::string>(static_cast<std::size_t>(n), m.name),
+                  n);
         return n;
     }
     return 0;
@@ -305,9 +341,10 @@
         if (static_cast<int>(places.size()) < job.spec.tasks) {
             continue;
         }
-        Txn txn;
+        send_batch();  // a gang's blocks have a transaction of their own
         Resources all = job.spec.each * job.spec.tasks;
-        if (!quota_.within_limit(job.spec.team, all) || !quota_.cover(job.spec.team, all, txn)) {
+        if (!quota_.within_limit(job.spec.team, all) ||
+            !quota_.cover(job.spec.team, all, batch_.txn)) {
             return false;
         }
         std::vector<std::string> names;
@@ -318,60 +355,75 @@
             b.placed[t] = {machine, where, attempt, ctx_.me.id};
             names.push_back(machine);
         }
-        send_claim(job, next, names, job.spec.tasks, std::move(txn));
+        add_claim(job, next, names, job.spec.tasks);
+        send_batch();
         return true;
     }
     hold_for(job);
     return false;
 }
 
-void Scheduler::send_claim(const Job& job, const std::map<int, Block>& blocks,
-                           const std::vector<std::string>& machines, int tasks, Txn txn) {
-    txn.conditions.push_back(ctx_.epoch_condition());
+void Scheduler::add_claim(const Job& job, const std::map<int, Block>& blocks,
+                          const std::vector<std::string>& machines, int tasks) {
+    Txn& txn = batch_.txn;
     txn.conditions.push_back({keys::job(job.spec.uid), job.revision});
-    std::vector<std::string> taken;
     Claim claim;
     for (const auto& [k, b] : blocks) {
         auto key = keys::block(job.spec.uid, k);
-        Revision was = job.block(k).revision;
-        txn.conditions.push_back({key, was});
+        claim.key = key;
+        claim.revision = job.block(k).revision;
+        txn.conditions.push_back({key, claim.revision});
         txn.writes.push_back({key, encode(b)});
         ctx_.busy.insert(key);
-        taken.push_back(key);
-        claim.key = key;
-        claim.revision = was;
-    }
-    // Whoever returns a machine writes its mark first: a claim that comes later fails here.
-    std::set<std::string> distinct(machines.begin(), machines.end());
-    std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
-    for (const auto& name : distinct) {
-        if (txn.conditions.size() < most) {
-            txn.conditions.push_back({keys::mark(name), 0});
-        }
+        batch_.blocks.push_back(key);
     }
     for (const auto& name : machines) {
         reserved_[name] += job.spec.each;
-    }
-    for (const auto& name : distinct) {
-        if (Machine* m = fleet_.find(name)) {
-            m->claims++;
-        }
+        batch_.places.emplace_back(name, job.spec.each);
     }
     claim.epoch = ctx_.jobs.revision_of(keys::epoch);
     claim.team = job.spec.team;
     claim.amount = job.spec.each * tasks;
     quota_.reserve(claim.team, claim.amount);
+    batch_.claims.push_back(claim);
+    std::set<std::string> distinct(machines.begin(), machines.end());
     ctx_.info("claim {} tasks {} on {}", job.spec.uid, tasks, fmt::join(distinct, ","));
-    ctx_.txn(txn, [this, taken, machines, distinct, claim, each = job.spec.each,
-                   uid = job.spec.uid](const StateReply& r) {
-        auto over = [this, taken, machines, distinct, each] {
-            for (const auto& key : taken) {
+    // The next claim may bring a block and a quota record.
+    if (txn.writes.size() + 2 > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+        send_batch();
+    }
+}
+
+void Scheduler::send_batch() {
+    Batch batch = std::exchange(batch_, {});
+    if (batch.claims.empty()) {
+        return;
+    }
+    batch.txn.conditions.push_back(ctx_.epoch_condition());
+    // Whoever returns a machine writes its mark first: a claim that comes later fails here.
+    std::set<std::string> machines;
+    for (const auto& [name, amount] : batch.places) {
+        machines.insert(name);
+    }
+    std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
+    for (const auto& name : machines) {
+        if (batch.txn.conditions.size() < most) {
+            batch.txn.conditions.push_back({keys::mark(name), 0});
+        }
+        if (Machine* m = fleet_.find(name)) {
+            m->claims++;
+        }
+    }
+    Txn txn = std::move(batch.txn);
+    ctx_.txn(std::move(txn), [this, batch, machines](const StateReply& r) {
+        auto over = [this, batch, machines] {
+            for (const auto& key : batch.blocks) {
                 ctx_.busy.erase(key);
             }
-            for (const auto& name : machines) {
-                reserved_[name] -= each;
+            for (const auto& [name, amount] : batch.places) {
+                reserved_[name] -= amount;
             }
-            for (const auto& name : distinct) {
+            for (const auto& name : machines) {
                 Machine* m = fleet_.find(name);
                 if (m != nullptr) {
                     m->claims--;
@@ -383,21 +435,26 @@
             fleet_.flush();
             fleet_.settle_answers();
         };
+        auto release = [this, batch] {
+            for (const auto& c : batch.claims) {
+                quota_.release(c.team, c.amount);
+            }
+        };
         if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
             if (r.status == StateReply::Status::conflict) {
-                ctx_.debug("claim {}: lost to another change of {}", uid, fmt::join(r.failed, ","));
+                ctx_.debug("claims lost to other changes of {}", fmt::join(r.failed, ","));
             }
-            ctx_.when_at(r.revision, [this, claim, over] {
-                quota_.release(claim.team, claim.amount);
+            ctx_.when_at(r.revision, [release, over] {
+                release();
                 over();
             });
         } else if (r.status == StateReply::Status::unknown) {
             // It may still be executed, for as long as its conditions hold: its amount stays
             // reserved until the records have moved on.
-            unknown_.push_back(claim);
+            unknown_.insert(unknown_.end(), batch.claims.begin(), batch.claims.end());
             over();
         } else {
-            quota_.release(claim.team, claim.amount);
+            release();
             over();
         }
     });
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -59,13 +59,25 @@
         Resources amount;
     };
 
+    // The claims of one opportunity, written together: one by one they would all change the
+    // same quota record and fail each other.
+    struct Batch {
+        Txn txn;
+        std::vector<std::string> blocks;
+        std::vector<std::pair<std::string, Resources>> places;  // machine, amount
+        std::vector<Claim> claims;
+    };
+
     bool walk_one(Machine& m, const Job& job, Resources& room);
     int claim_tasks(Machine& m, const Job& job, const Resources& room);
+    bool slow_fetch(const Machine& m, const JobSpec& spec) const;
+    double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
+    void send_batch();
     bool claim_gang(Machine& m, const Job& job);
     int rank(const Machine& m, const Job& job) const;
     bool better_elsewhere(const Machine& m, const Job& job) const;
-    void send_claim(const Job& job, const std::map<int, Block>& blocks,
-                    const std::vector<std::string>& machines, int tasks, Txn txn);
+    void add_claim(const Job& job, const std::map<int, Block>& blocks,
+                   const std::vector<std::string>& machines, int tasks);
     // Stops lower or borrowed work where a job may demand that and nothing else helps it.
     void preempt();
     bool may_preempt(const Job& job, const Job& victim, double waited) const;
@@ -82,6 +94,8 @@
     std::map<std::string, Hold> holds_;          // by machine
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
+    Batch batch_;
+    std::set<std::string> batch_images_;          // claimed on this machine in this opportunity
     std::map<std::string, double> open_since_;    // jobs with tasks to place
     std::map<std::string, double> preempted_at_;  // by job that room was made for
     double last_heartbeat_ = 0;
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -366,6 +366,35 @@
     EXPECT_TRUE(w.until([&] { return w.stored("c/b/req-000001/0") == nullptr; }, 5));
 }
 
+TEST_F(Three, AProofThatCouldNotBeWrittenDiesWithTheOwnership) {
+    // Found by the random story: a task ran twice, since its former owner wrote "not started"
+    // after the next owner had started the same claim.
+    begin(3);
+    w.capacity = 0;
+    w.submit_and_wait(1, w.job(1, JobKind::service));
+    auto token = w.report(0, bare_report("vm-100000", "a", 0, 1)).token;
+    auto start = w.report(0, bare_report("vm-100000", "a", token, 2));
+    ASSERT_EQ(start.commands.size(), 1U);  // and its response is lost
+    w.state_refused.insert(0);
+    auto notice = bare_report("vm-100000", "a", token, 3);
+    notice.notice_s = 20;
+    w.report(0, notice);
+    ASSERT_TRUE(w.until([&] { return !w.node(1).context().jobs.epoch()->find("n0"); }, 10));
+    w.run(0.2);
+    int owner = w.report(1, bare_report("vm-100000", "a", token, 4)).status == 200 ? 1 : 2;
+    Token next = w.node(owner).context().token;
+    w.report(owner, bare_report("vm-100000", "a", token, 5));
+    auto again = w.report(owner, bare_report("vm-100000", "a", next, 6));
+    ASSERT_EQ(again.commands.size(), 1U);
+    EXPECT_EQ(again.commands[0].attempt, start.commands[0].attempt);
+    w.state_refused.clear();
+    ASSERT_TRUE(w.until([&] { return w.all_members(3); }, 15));
+    w.run(2);
+    const Json* block = w.stored("c/b/req-000001/0");
+    ASSERT_NE(block, nullptr);
+    EXPECT_TRUE(block->at("placed").contains("0"));
+}
+
 // --- rule 5: durable before told ----------------------------------------------------------
 
 TEST_F(Story, ForgetFollowsTheDurableRecord) {
