--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -138,6 +138,10 @@
 inline constexpr double types_every_s = 60.0;
 // s between provisioning decisions
 inline constexpr double provision_every_s = 0.5;
+// s looked back to tell how often whole machines are asked for
+inline constexpr double arrivals_s = 120.0;
+// times the machines asked for during a boot that are kept empty: boots often take longer
+inline constexpr double headroom_margin = 1.3;
 // s a type, zone and kind without capacity is left alone
 inline constexpr double no_capacity_s = 12.0;
 // machines asked for in one rental at the most, the cloud's own maximum
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -800,12 +800,31 @@
     return it == failures_.end() ? -1e9 : it->second.not_before;
 }
 
+double Fleet::whole_machine_arrivals(double since_wall) const {
+    double n = 0;
+    for (const auto& [uid, at] : whole_) {
+        n += at >= since_wall ? 1 : 0;
+    }
+    return n;
+}
+
 double Fleet::placed_at(const TaskId& id) const {
     auto it = placed_at_.find(id);
     return it == placed_at_.end() ? ctx_.now.steady : it->second;
 }
 
 void Fleet::records_changed() {
+    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
+        bool whole = job.revision != 0 && std::any_of(types_.begin(), types_.end(), [&](auto& t) {
+                                              return (job.spec.each * 2).fits_in(t.size);
+                                          }) == false;
+        if (whole && !types_.empty()) {
+            whole_.try_emplace(uid, job.submitted_wall);
+        }
+    }
+    std::erase_if(whole_, [&](const auto& w) {
+        return ctx_.now.wall - w.second > 2 * constants::arrivals_s;
+    });
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
         placed_at_[id] = ctx_.now.steady;
         const Job* job = ctx_.jobs.find(id.uid);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -106,6 +106,8 @@
     void mark(Machine& m, const std::string& why, bool fence);
     // A job whose tasks fail is left alone until then.
     double job_pause_until(const std::string& uid) const;
+    // Jobs submitted since then whose tasks take most of a machine.
+    double whole_machine_arrivals(double since_wall) const;
     // When a task's placement was first seen here.
     double placed_at(const TaskId& id) const;
     // Writes what was observed; also called when earlier writes are done.
@@ -148,6 +150,7 @@
     std::map<std::string, std::map<int, Outcome>> outcomes_;  // by job, by task
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
+    std::map<std::string, double> whole_;  // submission times of such jobs
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
 };
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -169,6 +169,16 @@
     });
 }
 
+int Provisioner::headroom() const {
+    double boot = 0;
+    for (const auto& t : fleet_.types()) {
+        boot = std::max(boot, t.boot_s);
+    }
+    double recent = fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
+    double asked = recent / constants::arrivals_s * boot * constants::headroom_margin;
+    return static_cast<int>(std::ceil(std::min(asked, ctx_.tunables.headroom_machines)));
+}
+
 void Provisioner::return_idle() {
     double t = ctx_.now.steady;
     // Machines that never came up are charged until they are given back.
@@ -194,7 +204,7 @@
     });
     // The longest empty go first, and only those beyond the headroom; spot machines, which
     // most jobs may not use, are no headroom.
-    int keep = static_cast<int>(std::ceil(ctx_.tunables.headroom_machines));
+    int keep = headroom();
     for (Machine* m : empty) {
         if (!m->spot && keep > 0) {
             --keep;
@@ -354,7 +364,7 @@
     for (const auto& t : fleet_.types()) {
         base = base == nullptr || t.price < base->price ? &t : base;
     }
-    for (; base != nullptr && spare < ctx_.tunables.headroom_machines; ++spare) {
+    for (; base != nullptr && spare < headroom(); ++spare) {
         auto zone = pick_zone(base->name, false, std::nullopt, load);
         if (!zone) {
             break;
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -48,6 +48,9 @@
     void rent();
     void send(Rental& rental);
     void return_idle();
+    // Whole machines to keep empty: as many as are asked for during a boot, from what came
+    // lately, and no more than the operators allow.
+    int headroom() const;
     std::vector<Bin> bins() const;
     // The zone to rent in: allowed, with capacity as far as known, and fewest machines.
     std::optional<std::string> pick_zone(const std::string& type, bool spot,
