--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -72,12 +72,6 @@
                        [&](const auto& i) { return i.first == image; });
 }
 
-bool Fleet::image_anywhere(const std::string& image) const {
-    return std::any_of(machines_.begin(), machines_.end(), [&](const auto& m) {
-        return has_image(m.second, image) && ctx_.jobs.mark(m.first) == nullptr;
-    });
-}
-
 // --- room ---------------------------------------------------------------------------------
 
 Resources Fleet::room(const Machine& m) const {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -92,7 +92,6 @@
     const MachineType* type(const std::string& name) const;
     const std::vector<MachineType>& types() const { return types_; }
     bool has_image(const Machine& m, const std::string& image) const;
-    bool image_anywhere(const std::string& image) const;
     // Room left by claimed tasks and by tasks still reported there.
     Resources room(const Machine& m) const;
     // Whether new tasks may be claimed on it, as far as this controller knows.
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -184,8 +184,7 @@
     Wait& w = waits_[job.spec.uid];
     bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
     bool fetch_waits = !local && slow_fetch(m, job.spec);
-    bool pass = fetch_waits || (!local && fleet_.image_anywhere(job.spec.image)) ||
-                better_elsewhere(m, job);
+    bool pass = fetch_waits || (!local && local_chance(job)) || better_elsewhere(m, job);
     if (pass && w.level == 0 && w.wait < longest_pass(m, job.spec, fetch_waits)) {
         w.skipped = true;
         return false;
@@ -206,6 +205,27 @@
     return n > 0;
 }
 
+// Whether waiting may find the job a machine with its image: one that has room, or work that
+// ends. One full of services frees none, and waiting for it would cost a start its time.
+bool Scheduler::local_chance(const Job& job) const {
+    for (const auto& [name, m] : fleet_.machines()) {
+        if (!fleet_.has_image(m, job.spec.image) || ctx_.jobs.mark(name) != nullptr ||
+            !allowed(job, m)) {
+            continue;
+        }
+        if (job.spec.each.fits_in(fleet_.room(m))) {
+            return true;
+        }
+        for (const auto& id : ctx_.jobs.on_machine(name)) {
+            const Job* other = ctx_.jobs.find(id.uid);
+            if (other != nullptr && other->spec.kind != JobKind::service) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 // Whether the machine is fetching another image already: two fetches share its rate, and both
 // images would be late.
 bool Scheduler::slow_fetch(const Machine& m, const JobSpec& spec) const {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -70,6 +70,7 @@
 
     bool walk_one(Machine& m, const Job& job, Resources& room);
     int claim_tasks(Machine& m, const Job& job, const Resources& room);
+    bool local_chance(const Job& job) const;
     bool slow_fetch(const Machine& m, const JobSpec& spec) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
