--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -77,6 +77,10 @@
 // s a job lets a machine pass that is busy fetching another image; most machines come up within
 // that time of each other
 inline constexpr double fetch_pass_s = 10.0;
+// s work that may run on a cheap machine leaves empty ordinary ones alone: two reports
+inline constexpr double cheap_pass_s = 6.0;
+// share of a machine by which another must be fuller to be the better one
+inline constexpr double rank_step = 0.1;
 // s between looks for work that must make room
 inline constexpr double preempt_every_s = 0.2;
 // s a job waits before it may stop others: a report of a machine with room may be under way
@@ -142,6 +146,8 @@
 inline constexpr double arrivals_s = 120.0;
 // times the machines asked for during a boot that are kept empty: boots often take longer
 inline constexpr double headroom_margin = 1.3;
+// machines' worth of free room kept on cheap machines while work for them keeps coming
+inline constexpr double cheap_headroom = 0.75;
 // s a type, zone and kind without capacity is left alone
 inline constexpr double no_capacity_s = 12.0;
 // machines asked for in one rental at the most, the cloud's own maximum
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -794,12 +794,19 @@
     return it == failures_.end() ? -1e9 : it->second.not_before;
 }
 
+namespace {
+double count_since(const std::map<std::string, double>& times, double since) {
+    return static_cast<double>(std::count_if(times.begin(), times.end(),
+                                             [&](const auto& t) { return t.second >= since; }));
+}
+}  // namespace
+
 double Fleet::whole_machine_arrivals(double since_wall) const {
-    double n = 0;
-    for (const auto& [uid, at] : whole_) {
-        n += at >= since_wall ? 1 : 0;
-    }
-    return n;
+    return count_since(whole_, since_wall);
+}
+
+double Fleet::cheap_arrivals(double since_wall) const {
+    return count_since(cheap_, since_wall);
 }
 
 double Fleet::placed_at(const TaskId& id) const {
@@ -807,18 +814,34 @@
     return it == placed_at_.end() ? ctx_.now.steady : it->second;
 }
 
-void Fleet::records_changed() {
+void Fleet::note_arrivals() {
+    if (types_.empty()) {
+        return;
+    }
+    double old = ctx_.now.wall - constants::arrivals_s;
     for (const auto& [uid, job] : ctx_.jobs.jobs()) {
-        bool whole = job.revision != 0 && std::any_of(types_.begin(), types_.end(), [&](auto& t) {
-                                              return (job.spec.each * 2).fits_in(t.size);
-                                          }) == false;
-        if (whole && !types_.empty()) {
+        if (job.revision == 0 || job.submitted_wall < old) {
+            continue;
+        }
+        bool two_fit = std::any_of(types_.begin(), types_.end(), [&](const MachineType& t) {
+            return (job.spec.each * 2).fits_in(t.size);
+        });
+        if (!two_fit) {
             whole_.try_emplace(uid, job.submitted_wall);
         }
+        // Without checkpoints a machine that is taken back costs all the work on it: such jobs
+        // use cheap machines that are there, but none are kept for them.
+        if (job.spec.spot && job.spec.checkpoint_s > 0) {
+            cheap_.try_emplace(uid, job.submitted_wall);
+        }
     }
-    std::erase_if(whole_, [&](const auto& w) {
-        return ctx_.now.wall - w.second > 2 * constants::arrivals_s;
-    });
+    for (auto* times : {&whole_, &cheap_}) {
+        std::erase_if(*times, [&](const auto& t) { return t.second < old; });
+    }
+}
+
+void Fleet::records_changed() {
+    note_arrivals();
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
         placed_at_[id] = ctx_.now.steady;
         const Job* job = ctx_.jobs.find(id.uid);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -107,6 +107,8 @@
     double job_pause_until(const std::string& uid) const;
     // Jobs submitted since then whose tasks take most of a machine.
     double whole_machine_arrivals(double since_wall) const;
+    // Jobs submitted since then that may use spot machines.
+    double cheap_arrivals(double since_wall) const;
     // When a task's placement was first seen here.
     double placed_at(const TaskId& id) const;
     // Writes what was observed; also called when earlier writes are done.
@@ -139,6 +141,7 @@
     void touch_image(Machine& m, const std::string& image, double gb);
     void refuse(std::uint64_t request, int status, const std::string& home = "");
     void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
+    void note_arrivals();
     void forget_outcomes(const std::string& machine);
     bool outcomes_pending(const Machine& m) const;
 
@@ -149,7 +152,9 @@
     std::map<std::string, std::map<int, Outcome>> outcomes_;  // by job, by task
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
-    std::map<std::string, double> whole_;  // submission times of such jobs
+    // submission times of such jobs
+    std::map<std::string, double> whole_;
+    std::map<std::string, double> cheap_;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
 };
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -372,6 +372,18 @@
         wanted[{base->name, *zone, false}]++;
         load[*zone]++;
     }
+    // The same for work that may use cheap machines.
+    double cheap = 0;
+    for (const auto& b : free) {
+        const MachineType* t = fleet_.type(b.type);
+        cheap += b.spot && t != nullptr && t->size.cpus > 0 ? b.room.cpus / t->size.cpus : 0;
+    }
+    if (base != nullptr && cheap < constants::cheap_headroom &&
+        fleet_.cheap_arrivals(ctx_.now.wall - constants::arrivals_s) > 0) {
+        if (auto zone = pick_zone(base->name, true, std::nullopt, load)) {
+            wanted[{base->name, *zone, true}]++;
+        }
+    }
     for (const auto& [kind, count] : wanted) {
         Rental r;
         r.request = fmt::format("{}-{}-{}", ctx_.settings.name, ctx_.token, ++rentals_made_);
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -29,9 +29,7 @@
         bool known = m != nullptr && m->mine && m->adopted;
         auto t =
             known ? m->tasks.find({{job.spec.uid, task}, p.attempt}) : decltype(m->tasks.end()){};
-        if (!known) {
-            ++running;
-        } else if (t != m->tasks.end() && t->second.state == TaskState::running) {
+        if (!known || (t != m->tasks.end() && t->second.state == TaskState::running)) {
             ++running;
         }
     }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -101,35 +101,58 @@
     return std::max(0, (size + 1) / 2 - there);
 }
 
-int Scheduler::rank(const Machine& m, const Job& job) const {
+double Scheduler::rank(const Machine& m, const Job& job) const {
     // Cheap machines first for jobs that may use them, machines in use next, and empty ordinary
-    // ones last: those are kept whole for gangs that need one.
-    if (m.spot) {
-        return 0;
-    }
+    // ones last: those are kept whole for gangs that need one. Work that can wait a little goes
+    // to the fullest machine, so that the others become empty.
     if (job.spec.kind == JobKind::gang && job.done() == 0) {
-        return 1;
+        return m.spot ? 0 : 1;
+    }
+    bool empty = ctx_.jobs.on_machine(m.name).empty();
+    if (empty && !m.spot) {
+        return 3;
     }
-    return ctx_.jobs.on_machine(m.name).empty() ? 2 : 1;
+    const MachineType* t = fleet_.type(m.type);
+    bool patient = job.spec.priority <= Priority::normal;
+    double free =
+        patient && t != nullptr && t->size.cpus > 0 ? fleet_.room(m).cpus / t->size.cpus : 0;
+    return (m.spot ? 0 : 1.5) + free;
 }
 
-// Whether a better machine than this one has room for the job, or will have soon. The job then
-// lets this one pass, as it would one without its image, and for no longer than that.
+// Whether a better machine than this one has room for the job. The job then lets this one pass,
+// as it would one without its image, and for no longer than that.
 bool Scheduler::better_elsewhere(const Machine& m, const Job& job) const {
-    int here = rank(m, job);
-    if (here == 0) {
-        return false;
-    }
+    double here = rank(m, job);
     bool local = fleet_.has_image(m, job.spec.image);
     for (const auto& [name, other] : fleet_.machines()) {
-        if (rank(other, job) >= here || !other.up() || ctx_.jobs.mark(name) != nullptr ||
-            other.notice_until || !allowed(job, other)) {
+        if (name == m.name || !other.up() || ctx_.jobs.mark(name) != nullptr ||
+            other.notice_until || !allowed(job, other) ||
+            (local && !fleet_.has_image(other, job.spec.image)) ||
+            !job.spec.each.fits_in(fleet_.room(other))) {
             continue;
         }
-        if (local && !fleet_.has_image(other, job.spec.image)) {
+        if (rank(other, job) < here - constants::rank_step) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Whether work that may run on cheap machines should leave an empty ordinary one alone: a cheap
+// one is there or on its way.
+bool Scheduler::cheap_coming(const Machine& m, const Job& job) const {
+    if (m.spot || !job.spec.spot || job.spec.checkpoint_s <= 0 ||
+        job.spec.priority > Priority::normal || !ctx_.jobs.on_machine(m.name).empty()) {
+        return false;
+    }
+    for (const auto& [name, other] : fleet_.machines()) {
+        const MachineType* t = fleet_.type(other.type);
+        if (!other.spot || t == nullptr || ctx_.jobs.mark(name) != nullptr || other.notice_until ||
+            !allowed(job, other)) {
             continue;
         }
-        if (job.spec.each.fits_in(fleet_.room(other))) {
+        bool young = ctx_.now.steady - other.born < t->boot_s * constants::boot_late_factor;
+        if ((other.up() || young) && job.spec.each.fits_in(fleet_.room(other))) {
             return true;
         }
     }
@@ -184,8 +207,13 @@
     Wait& w = waits_[job.spec.uid];
     bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
     bool fetch_waits = !local && slow_fetch(m, job.spec);
-    bool pass = fetch_waits || (!local && local_chance(job)) || better_elsewhere(m, job);
-    if (pass && w.level == 0 && w.wait < longest_pass(m, job.spec, fetch_waits)) {
+    bool cheap = cheap_coming(m, job);
+    bool pass = cheap || fetch_waits || (!local && local_chance(job)) || better_elsewhere(m, job);
+    double most = longest_pass(m, job.spec, fetch_waits);
+    if (cheap) {
+        most = std::max(most, constants::cheap_pass_s);
+    }
+    if (pass && (w.level == 0 || cheap) && w.wait < most) {
         w.skipped = true;
         return false;
     }
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -75,7 +75,8 @@
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
     bool claim_gang(Machine& m, const Job& job);
-    int rank(const Machine& m, const Job& job) const;
+    double rank(const Machine& m, const Job& job) const;
+    bool cheap_coming(const Machine& m, const Job& job) const;
     bool better_elsewhere(const Machine& m, const Job& job) const;
     void add_claim(const Job& job, const std::map<int, Block>& blocks,
                    const std::vector<std::string>& machines, int tasks);
--- a/src/io/cloud_client.cpp
+++ b/src/io/cloud_client.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 constexpr std::size_t connections = 4;
-constexpr std::size_t answer_max = 16U * 1024 * 1024;  // bytes
+constexpr std::size_t answer_max = 16UL << 20;  // bytes
 // share of the limit for one controller: the leading one makes most of the calls
 constexpr double share = 0.6;
 }  // namespace
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -22,7 +22,7 @@
 // s after which an unused client to a worker is dropped
 constexpr double worker_idle_s = 20;
 // bytes of an answer of a worker or peer at the most
-constexpr std::size_t answer_max = 1024 * 1024;
+constexpr std::size_t answer_max = 1UL << 20;
 
 const std::string work = "/work";
 }  // namespace
--- a/src/io/http_parser.cpp
+++ b/src/io/http_parser.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Bytes of a start line and headers at the most: ours are a few hundred.
-constexpr std::size_t head_max = 16 * 1024;
+constexpr std::size_t head_max = 16384;
 // Digits of a chunk size: enough for any body within the limits.
 constexpr std::size_t chunk_digits_max = 8;
 
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -41,7 +41,7 @@
         double active = 0;
     };
 
-    static constexpr std::size_t body_max = 64 * 1024;  // bytes, the protocol's limit
+    static constexpr std::size_t body_max = 65536;  // bytes, the protocol's limit
 
     void accept();
     void ready(std::uint64_t id, int events);
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -11,7 +11,7 @@
 // connections for calls: as many transactions may be under way at once
 constexpr std::size_t connections = 8;
 // bytes of an answer at the most; a watch's answer has no limit of its own
-constexpr std::size_t answer_max = 64U * 1024 * 1024;
+constexpr std::size_t answer_max = 64UL << 20;
 // s after which a call answered with 429 is sent again, and how often
 constexpr double again_s = 0.06;
 constexpr int again_max = 5;
@@ -76,14 +76,14 @@
         }
         Waiting out = std::move(w);
         queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
-        send(std::move(out));
+        send(out);
     }
     if (wait < 1e17) {
         timer_.start(std::max(0.001, wait));
     }
 }
 
-void StateClient::send(Waiting w) {
+void StateClient::send(const Waiting& w) {
     auto request = wire::state_request(w.call);
     bool watch = w.call.kind == core::StateCall::Kind::watch;
     HttpClient& client = watch ? watches_ : calls_;
--- a/src/io/state_client.hpp
+++ b/src/io/state_client.hpp
@@ -24,7 +24,7 @@
         int tries = 0;
     };
     void pump();
-    void send(Waiting w);
+    void send(const Waiting& w);
 
     Loop& loop_;
     Done done_;
