--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -15,7 +15,7 @@
     // seconds a team may stay below its guarantee before newer work of others is stopped
     double share_timeout_s = 6.0;
     // machines' worth of free room kept for work that has not come yet
-    double headroom_machines = 2.0;
+    double headroom_machines = 3.0;
     // seconds an empty machine beyond the headroom is kept: a boot costs more than that
     double idle_return_s = 45.0;
     // seconds without a report after which a machine is probed and then fenced
@@ -145,7 +145,7 @@
 // s looked back to tell how often whole machines are asked for
 inline constexpr double arrivals_s = 120.0;
 // times the machines asked for during a boot that are kept empty: boots often take longer
-inline constexpr double headroom_margin = 1.3;
+inline constexpr double headroom_margin = 1.6;
 // machines' worth of free room kept on cheap machines while work for them keeps coming
 inline constexpr double cheap_headroom = 0.75;
 // s a type, zone and kind without capacity is left alone
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -823,9 +823,9 @@
         if (job.revision == 0 || job.submitted_wall < old) {
             continue;
         }
-        bool two_fit = std::any_of(types_.begin(), types_.end(), [&](const MachineType& t) {
-            return (job.spec.each * 2).fits_in(t.size);
-        });
+        Resources two = job.spec.each * 2;
+        bool two_fit = std::any_of(types_.begin(), types_.end(),
+                                   [&](const MachineType& t) { return two.fits_in(t.size); });
         if (!two_fit) {
             whole_.try_emplace(uid, job.submitted_wall);
         }
