--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -116,8 +116,6 @@
 inline constexpr double order_timeout_s = 2.0;
 // s between repeated direct stops of the same task
 inline constexpr double stop_repeat_s = 2.0;
-// s added to a task's own save time as its grace
-inline constexpr double save_margin_s = 2.0;
 // fraction of cancel_s after which a machine that still has a cancelled task is released
 inline constexpr double cancel_fence_share = 0.4;
 // share of an owner's machines that may be silent at once before it suspects itself
--- a/src/core/context.hpp
+++ b/src/core/context.hpp
@@ -81,6 +81,15 @@
             waiting_.emplace(revision, std::move(then));
         }
     }
+    // Runs `over` when a transaction is settled: once the copy shows what it or its rival wrote,
+    // or at once where nothing is known to have been written.
+    void when_settled(const StateReply& r, std::function<void()> over) {
+        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+            when_at(r.revision, std::move(over));
+        } else {
+            over();
+        }
+    }
     void run_waiting() {
         while (!waiting_.empty() && waiting_.begin()->first <= jobs.revision()) {
             auto then = std::move(waiting_.begin()->second);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -256,7 +256,7 @@
               outcome.why);
 }
 
-void Fleet::exited(Machine& m, const Job& job, const TaskStatus& s) {
+void Fleet::exited(Machine& m, const TaskStatus& s) {
     Outcome o;
     o.attempt = s.attempt;
     o.machine = m.name;
@@ -295,7 +295,6 @@
     } else if (s.why == ExitReason::no_room || s.why == ExitReason::busy) {
         m.no_claims_until = ctx_.now.steady + constants::job_backoff_s;
     }
-    (void)job;
 }
 
 void Fleet::observe(Machine& m, bool from_report) {
@@ -310,7 +309,7 @@
         auto t = m.tasks.find(attempt);
         if (t != m.tasks.end()) {
             if (t->second.state == TaskState::exited) {
-                exited(m, *job, t->second);
+                exited(m, t->second);
             } else {
                 m.seen.insert(attempt);
                 if (job->cancelled || gang_broken(*job)) {
@@ -484,11 +483,7 @@
         }
         finishing_.insert(uid);
         ctx_.txn(txn, [this, uid = uid](const StateReply& r) {
-            if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-                ctx_.when_at(r.revision, [this, uid] { finishing_.erase(uid); });
-            } else {
-                finishing_.erase(uid);
-            }
+            ctx_.when_settled(r, [this, uid] { finishing_.erase(uid); });
         });
     }
 }
@@ -746,16 +741,11 @@
     txn.writes = {{keys::mark(m.name), encode(mark)}};
     ctx_.info("machine {}: to be returned ({})", m.name, why);
     ctx_.txn(txn, [this, name = m.name](const StateReply& r) {
-        auto over = [this, name] {
+        ctx_.when_settled(r, [this, name] {
             if (Machine* m = find(name)) {
                 m->marking = false;
             }
-        };
-        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-            ctx_.when_at(r.revision, over);
-        } else {
-            over();
-        }
+        });
     });
 }
 
@@ -896,7 +886,7 @@
         if (!mark.gone) {
             continue;
         }
-        std::string name = key.substr(keys::mark("").size());
+        std::string name = keys::marked_machine(key);
         for (const auto& id : ctx_.jobs.on_machine(name)) {
             if (const Placement* p = ctx_.jobs.placement(id)) {
                 conclude(id, {p->attempt, false, "machine gone", name});
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -133,7 +133,7 @@
     void take_in(Machine& m, const Report& r);
     void observe(Machine& m, bool from_report);
     void conclude(const TaskId& id, const Outcome& outcome);
-    void exited(Machine& m, const Job& job, const TaskStatus& s);
+    void exited(Machine& m, const TaskStatus& s);
     bool wants_start(const Machine& m, const Job& job) const;
     void raise_token(Machine& m, int tries);
     void probe(Machine& m);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -226,13 +226,8 @@
     Txn txn;
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}};
-    ctx_.txn(txn, [this](const StateReply& r) {
-        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-            ctx_.when_at(r.revision, [this] { removing_ = false; });
-        } else {
-            removing_ = false;
-        }
-    });
+    ctx_.txn(txn,
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { removing_ = false; }); });
 }
 
 void Membership::tick() {
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -85,7 +85,7 @@
     CloudCall call;
     call.kind = CloudCall::Kind::release;
     for (const auto& [key, mark] : ctx_.jobs.marks()) {
-        std::string name = key.substr(keys::mark("").size());
+        std::string name = keys::marked_machine(key);
         if (!mark.gone && (mark.fence || ctx_.jobs.on_machine(name).empty()) &&
             call.machines.size() < constants::release_max) {
             call.machines.push_back(name);
@@ -122,12 +122,8 @@
             if (!txn.writes.empty()) {
                 releasing_ = true;
                 ctx_.txn(txn, [this](const StateReply& s) {
-                    if (s.status == StateReply::Status::ok ||
-                        s.status == StateReply::Status::conflict) {
-                        ctx_.when_at(s.revision, [this] { releasing_ = false; });
-                    } else {
-                        releasing_ = false;  // released again then, which does no harm
-                    }
+                    // Unless it is written, the machines are released again, which does no harm.
+                    ctx_.when_settled(s, [this] { releasing_ = false; });
                 });
             }
         }
@@ -141,7 +137,7 @@
     Txn txn;
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, mark] : ctx_.jobs.marks()) {
-        std::string name = key.substr(keys::mark("").size());
+        std::string name = keys::marked_machine(key);
         if (!mark.gone) {
             gone_since_.erase(name);
             continue;
@@ -160,13 +156,8 @@
         return;
     }
     retiring_ = true;
-    ctx_.txn(txn, [this](const StateReply& r) {
-        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-            ctx_.when_at(r.revision, [this] { retiring_ = false; });
-        } else {
-            retiring_ = false;
-        }
-    });
+    ctx_.txn(txn,
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { retiring_ = false; }); });
 }
 
 int Provisioner::headroom() const {
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -59,6 +59,9 @@
 std::string mark(const std::string& machine) {
     return "c/x/" + safe(machine);
 }
+std::string marked_machine(const std::string& key) {
+    return key.substr(mark("").size());
+}
 std::string finished(const std::string& uid) {
     return "f/" + safe(uid);
 }
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -21,6 +21,7 @@
 std::string block(const std::string& uid, int index);
 std::string quota(const std::string& team);
 std::string mark(const std::string& machine);
+std::string marked_machine(const std::string& key);  // the other way round
 std::string finished(const std::string& uid);
 }  // namespace keys
 
