--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -14,12 +14,12 @@
     double gang_hold_s = 20.0;
     // seconds a team may stay below its guarantee before newer work of others is stopped
     double share_timeout_s = 6.0;
-    // machines' worth of free room kept for work that has not come yet
-    double headroom_machines = 3.0;
+    // empty machines kept at the most for work that has not come yet; how many follows demand
+    double headroom_machines = 100.0;
     // seconds an empty machine beyond the headroom is kept: a boot costs more than that
     double idle_return_s = 45.0;
-    // seconds without a report after which a machine is probed and then fenced
-    double silence_s = 6.0;
+    // seconds without a report after which a machine is probed and then fenced; 0: follows report_s
+    double silence_s = 0;
 };
 
 namespace constants {
@@ -74,6 +74,15 @@
 inline constexpr std::size_t finished_cache = 20000;
 
 // --- scheduling ---------------------------------------------------------------------------
+// s between rounds: the reports of that time are served together, since every claim is a write
+inline constexpr double round_every_s = 0.2;
+// s that each further member leaves a new job to the first in its order: a round, a transaction
+// and the watch. Members that claim from the same block at once only fail each other.
+inline constexpr double home_stagger_s = 0.75;
+// blocks claimed in one transaction: if one was changed by others, the claims on all are lost
+inline constexpr std::size_t claim_blocks = 4;
+// parts of a team's limit that a member's slice grows by, so that few claims need the record
+inline constexpr double slice_grain = 1.0 / 16;
 // s a job lets a machine pass that is busy fetching another image; most machines come up within
 // that time of each other
 inline constexpr double fetch_pass_s = 10.0;
@@ -83,6 +92,8 @@
 inline constexpr double rank_step = 0.1;
 // s between looks for work that must make room
 inline constexpr double preempt_every_s = 0.2;
+// jobs for which every machine is looked at in one such look
+inline constexpr int preempt_looks = 3;
 // s a job waits before it may stop others: a report of a machine with room may be under way
 inline constexpr double preempt_after_s = 0.4;
 // s between two times that room is made for the same job; the freed room is held that long
@@ -103,10 +114,26 @@
 // --- workers ------------------------------------------------------------------------------
 // s a report's answer waits for the claims made for it: well below the workers' 4 s
 inline constexpr double report_hold_s = 0.6;
-// s the answer to a machine without tasks is kept open, so that a new job starts at once
-inline constexpr double idle_hold_s = 2.0;
-// s within which a worker that comes back to a wrong controller is taken as cut off from its own
-inline constexpr double relay_window_s = 9.0;
+// s the answer to a machine with room is kept open while nothing ends there, so that a new job
+// starts at once: below the workers' 4 s by what a slow controller and the network may take
+inline constexpr double idle_hold_s = 3.0;
+// times report_s within which the next report goes out at the latest
+inline constexpr double report_spread = 1.25;
+// s beyond that after which a machine is silent: a timeout of 4 s at one controller is met by
+// the probe, which takes this long
+inline constexpr double silence_margin_s = 2.25;
+// s beyond the longest time between reports within which a worker that comes back to a wrong
+// controller is taken as cut off from its own: a timeout of 4 s and a pause of 1 s
+inline constexpr double relay_window_s = 5.25;
+// s between looks at every machine
+inline constexpr double sweep_every_s = 0.5;
+// machines taken over whose token is raised in one tick
+inline constexpr int raise_per_tick = 20;
+// s the ends of an array's tasks are collected for one write
+inline constexpr double outcome_hold_s = 5.0;
+// s the ends of a cancelled job's tasks are collected: its workers report them within half a
+// second of the stop
+inline constexpr double outcome_soon_s = 1.0;
 // s after which a worker cut off from its controller has found a way round: two timeouts of
 // 4 s, a pause of 1 s after each, and the relay itself
 inline constexpr double relay_detour_s = 12.5;
@@ -136,20 +163,29 @@
 // s between listings by the member that rents, and by the others
 inline constexpr double list_every_s = 2.0;
 inline constexpr double list_every_others_s = 6.0;
+// share of the cloud's calls for listing pages, of the member that rents and of each other
+inline constexpr double list_share = 0.2;
+inline constexpr double list_share_others = 0.08;
+// times list_lag_s between listings: more often they say nothing new
+inline constexpr double list_lag_factor = 0.4;
 // s between looks at prices and types
 inline constexpr double types_every_s = 60.0;
 // s between provisioning decisions
 inline constexpr double provision_every_s = 0.5;
 // s looked back to tell how often whole machines are asked for
 inline constexpr double arrivals_s = 120.0;
-// times the machines asked for during a boot that are kept empty: boots often take longer
-inline constexpr double headroom_margin = 1.6;
+// standard deviations of the machines asked for during a boot that are kept empty: as many as
+// come also end, so that only the swing needs room
+inline constexpr double headroom_margin = 2.0;
 // machines' worth of free room kept on cheap machines while work for them keeps coming
 inline constexpr double cheap_headroom = 0.75;
 // s a type, zone and kind without capacity is left alone
 inline constexpr double no_capacity_s = 12.0;
 // machines asked for in one rental at the most, the cloud's own maximum
 inline constexpr int rental_max = 50;
+// machines of one type, zone and kind asked for in one look: what the rate of calls allows in
+// the time of a boot, without a flood for a burst that the next look sees more clearly
+inline constexpr int rental_look = 200;
 // machines named in one release at the most, the cloud's own maximum
 inline constexpr int release_max = 100;
 // machines of one listing page, the cloud's own maximum
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -10,7 +10,6 @@
       scheduler_(ctx_, members_, fleet_, quota_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
       requests_(ctx_, members_, fleet_, quota_) {
-    fleet_.on_room = [this](Machine& m) { scheduler_.opportunity(m); };
     members_.on_change = [this](bool epoch_changed, const std::optional<Epoch>& before) {
         if (epoch_changed) {
             fleet_.epoch_changed(before);
@@ -19,13 +18,6 @@
         }
         scheduler_.records_changed();
         fleet_.records_changed();
-        // A new job needn't wait for the next report of a machine whose answer is open.
-        for (auto& [name, m] : fleet_.machines()) {
-            if (m.request && m.claims == 0 && fleet_.usable(m)) {
-                scheduler_.opportunity(m);
-            }
-        }
-        fleet_.settle_answers();
     };
 }
 
@@ -53,15 +45,17 @@
     // A cancelled task that is still somewhere well after its user was told: its machine can't
     // be reached, and must be released before the time is up.
     double limit = ctx_.settings.cancel_s * constants::cancel_fence_share;
-    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
-        if (!job.cancelled || ctx_.now.wall - job.cancelled_wall < limit) {
+    for (const auto& uid : ctx_.jobs.cancelled()) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        if (ctx_.now.wall - job.cancelled_wall < limit) {
             continue;
         }
-        for (const auto& [task, p] : job.placements()) {
+        job.each_placement([&](int, const Placement& p) {
             if (Machine* m = fleet_.find(p.machine)) {
                 fleet_.mark(*m, "cancelled task still there", true);
             }
-        }
+            return true;
+        });
     }
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -45,13 +45,21 @@
 
 void Fleet::set_types(const std::vector<MachineType>& types) {
     types_ = types;
+    for (auto& [name, m] : machines_) {
+        m.room_known = false;
+    }
 }
 
 // --- images -------------------------------------------------------------------------------
 
+int Fleet::image_number(const std::string& image) const {
+    return image_numbers_.try_emplace(image, static_cast<int>(image_numbers_.size())).first->second;
+}
+
 void Fleet::touch_image(Machine& m, const std::string& image, double gb) {
-    m.images.remove_if([&](const auto& i) { return i.first == image; });
-    m.images.emplace_front(image, gb);
+    int number = image_number(image);
+    std::erase_if(m.images, [&](const auto& i) { return i.first == number; });
+    m.images.insert(m.images.begin(), {number, gb});
     const MachineType* t = type(m.type);
     if (t == nullptr) {
         return;
@@ -67,32 +75,37 @@
     }
 }
 
-bool Fleet::has_image(const Machine& m, const std::string& image) const {
+bool Fleet::has_image(const Machine& m, int image) {
     return std::any_of(m.images.begin(), m.images.end(),
                        [&](const auto& i) { return i.first == image; });
 }
 
 // --- room ---------------------------------------------------------------------------------
 
-Resources Fleet::room(const Machine& m) const {
+const Resources& Fleet::room(const Machine& m) const {
+    if (m.room_known) {
+        return m.room;
+    }
+    m.room_known = true;
     const MachineType* t = type(m.type);
     if (t == nullptr) {
-        return {};
+        m.room = {};
+        return m.room;
     }
-    Resources left = t->size - ctx_.jobs.used_on(m.name);
-    // A task that runs there without a placement still takes its room until it is stopped.
+    m.room = t->size - ctx_.jobs.used_on(m.name);
     for (const auto& [attempt, status] : m.tasks) {
-        if (status.state == TaskState::exited) {
-            continue;
-        }
         const Placement* p = ctx_.jobs.placement(attempt.first);
-        if (p == nullptr || p->machine != m.name) {
-            if (const Job* job = ctx_.jobs.find(attempt.first.uid)) {
-                left -= job->spec.each;
-            }
+        bool here = p != nullptr && p->machine == m.name;
+        bool exited = status.state == TaskState::exited;
+        // A task that runs there without a placement still takes its room until it is stopped.
+        bool extra = !here && !exited;
+        bool over = here && exited && p->attempt == attempt.second && m.mine && m.adopted;
+        const Job* job = extra || over ? ctx_.jobs.find(attempt.first.uid) : nullptr;
+        if (job != nullptr) {
+            m.room += job->spec.each * (over ? 1.0 : -1.0);
         }
     }
-    return left;
+    return m.room;
 }
 
 bool Fleet::usable(const Machine& m) const {
@@ -116,7 +129,9 @@
         return;
     }
     double& last = redirected_.try_emplace(r.machine, -1e9).first->second;
-    bool again = ctx_.now.steady - last < constants::relay_window_s;
+    // Relayed once, it stays here and comes again with its next report.
+    double window = constants::relay_window_s + ctx_.settings.report_s * constants::report_spread;
+    bool again = ctx_.now.steady - last < window;
     last = ctx_.now.steady;
     if (!again) {
         refuse(request, 421, owner->name);
@@ -168,6 +183,7 @@
         // The worker gave up on the earlier report; nobody reads its answer.
         refuse(*m.request, 503);
         m.request.reset();
+        asking_.erase(m.name);
     }
     if (const Mark* mark = ctx_.jobs.mark(r.machine); mark != nullptr && mark->gone) {
         refuse(request, 503);
@@ -177,6 +193,8 @@
     m.last_report = ctx_.now.steady;
     m.probe_failures = 0;
     m.request = request;
+    m.considered = false;
+    asking_.insert(m.name);
     if (r.token == ctx_.token && !m.adopted) {
         m.adopted = true;
         ctx_.info("machine {}: adopted in session {} with {} tasks", m.name, m.session,
@@ -188,15 +206,12 @@
     }
     m.answer_by = ctx_.now.steady + constants::report_hold_s;
     observe(m, true);
-    flush();
-    if (on_room && usable(m)) {
-        on_room(m);
-    }
-    settle_answers();
+    settle(m);
 }
 
 void Fleet::take_in(Machine& m, const Report& r) {
     bool first = !m.reported;
+    m.room_known = false;
     m.name = r.machine;
     m.address = r.address;
     m.type = r.type;
@@ -246,12 +261,16 @@
 }
 
 void Fleet::conclude(const TaskId& id, const Outcome& outcome) {
-    auto& byTask = outcomes_[id.uid];
-    auto it = byTask.find(id.index);
-    if (it != byTask.end() && it->second.attempt == outcome.attempt) {
+    Pending& pending = outcomes_[id.uid];
+    if (pending.tasks.empty()) {
+        pending.since = ctx_.now.steady;
+    }
+    auto it = pending.tasks.find(id.index);
+    if (it != pending.tasks.end() && it->second.attempt == outcome.attempt) {
         return;
     }
-    byTask[id.index] = outcome;
+    pending.tasks[id.index] = outcome;
+    pending.look = true;
     ctx_.info("task {} attempt {} on {}: {}", id.text(), outcome.attempt, outcome.machine,
               outcome.why);
 }
@@ -262,13 +281,27 @@
     o.machine = m.name;
     o.done = s.why == ExitReason::done;
     o.why = reason_name(s.why);
-    auto& byTask = outcomes_[s.id.uid];
-    auto it = byTask.find(s.id.index);
-    bool known = it != byTask.end() && it->second.attempt == s.attempt;
+    auto pending = outcomes_.find(s.id.uid);
+    bool known = false;
+    if (pending != outcomes_.end()) {
+        auto it = pending->second.tasks.find(s.id.index);
+        known = it != pending->second.tasks.end() && it->second.attempt == s.attempt;
+    }
     conclude(s.id, o);
     if (known) {
         return;
     }
+    const Job* job = ctx_.jobs.find(s.id.uid);
+    if (o.done && job != nullptr && job->spec.kind == JobKind::gang) {
+        // A gang completes together: what one of its tasks reports holds for all of the attempt,
+        // and one write tells it.
+        job->each_placement([&](int task, const Placement& p) {
+            if (p.attempt == s.attempt) {
+                conclude({s.id.uid, task}, {p.attempt, true, "done", p.machine});
+            }
+            return true;
+        });
+    }
     if (o.done) {
         m.errors = 0;
         failures_.erase(s.id.uid);
@@ -336,19 +369,41 @@
 // owner may start the very claim that was found absent. What could not be written by then must
 // never be, however true it was; the next owner sees for itself.
 void Fleet::forget_outcomes(const std::string& machine) {
-    for (auto& [uid, tasks] : outcomes_) {
-        std::erase_if(tasks, [&](const auto& t) { return t.second.machine == machine; });
+    for (auto& [uid, pending] : outcomes_) {
+        std::erase_if(pending.tasks, [&](const auto& t) { return t.second.machine == machine; });
     }
 }
 
-bool Fleet::outcomes_pending(const Machine& m) const {
-    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
-        auto it = outcomes_.find(id.uid);
-        if (it != outcomes_.end() && it->second.count(id.index) != 0) {
+// Whether a job's outcomes should be written now. The record of a block is written whole, so
+// that the ends of several tasks cost one write: they are collected for a while. Nothing waits
+// for them meanwhile: a task that ended leaves its room at once, and the last one here to end
+// writes them all. What must start again, and what a team near its limit gives back, is urgent.
+bool Fleet::due(const Job& job, const Pending& pending) const {
+    double limit = job.cancelled ? constants::outcome_soon_s : constants::outcome_hold_s;
+    if (ctx_.now.steady - pending.since >= limit || job.spec.kind == JobKind::gang) {
+        return true;
+    }
+    for (const auto& [index, o] : pending.tasks) {
+        if (!o.done && !job.cancelled) {
             return true;
         }
     }
-    return false;
+    for (const auto& t : ctx_.settings.teams) {
+        if (t.name == job.spec.team) {
+            Resources used = ctx_.jobs.used(t.name) + t.limit * constants::slice_return_share;
+            if ((t.limit.gpus > 0 && used.gpus > t.limit.gpus) ||
+                (t.limit.cpus > 0 && used.cpus > t.limit.cpus)) {
+                return true;
+            }
+        }
+    }
+    bool more_here = false;
+    job.each_placement([&](int task, const Placement& p) {
+        auto m = machines_.find(p.machine);
+        more_here = m != machines_.end() && m->second.mine && pending.tasks.count(task) == 0;
+        return !more_here;
+    });
+    return !more_here;
 }
 
 void Fleet::flush() {
@@ -357,10 +412,17 @@
     }
     Txn txn;
     std::vector<std::string> taken;
+    std::vector<std::string> uids;
     std::size_t room = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
     for (auto job_it = outcomes_.begin(); job_it != outcomes_.end();) {
+        auto& pending = job_it->second;
+        bool waited = ctx_.now.steady - pending.since >= constants::outcome_soon_s;
+        if (!pending.look && !waited) {
+            ++job_it;
+            continue;
+        }
         const Job* job = ctx_.jobs.find(job_it->first);
-        auto& tasks = job_it->second;
+        auto& tasks = pending.tasks;
         // Drop what the records say already.
         for (auto t = tasks.begin(); t != tasks.end();) {
             const Placement* p = ctx_.jobs.placement({job_it->first, t->first});
@@ -371,6 +433,11 @@
             job_it = outcomes_.erase(job_it);
             continue;
         }
+        pending.look = false;
+        if (!due(*job, pending)) {
+            ++job_it;
+            continue;
+        }
         std::map<int, Block> changed;
         bool busy = false;
         for (const auto& [index, outcome] : tasks) {
@@ -395,10 +462,13 @@
             completes = false;  // finish_jobs does it once the blocks are written
             ops = changed.size();
         }
+        pending.look = busy;
         if (changed.empty() || txn.writes.size() + ops > room) {
+            pending.look = true;
             ++job_it;
             continue;
         }
+        uids.push_back(job_it->first);
         if (completes) {
             txn.conditions.push_back({keys::job(job->spec.uid), job->revision});
             for (const auto& [k, b] : job->blocks) {
@@ -427,22 +497,19 @@
     for (const auto& key : taken) {
         ctx_.busy.insert(key);
     }
-    ctx_.txn(txn, [this, taken](const StateReply& r) {
-        auto over = [this, taken] {
+    ctx_.txn(txn, [this, taken, uids](const StateReply& r) {
+        // Refused or unknown: the next tick tries again. If the first one is executed late, its
+        // conditions fail or it says the same.
+        ctx_.when_settled(r, [this, taken, uids] {
             for (const auto& key : taken) {
                 ctx_.busy.erase(key);
             }
-            flush();
-        };
-        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-            ctx_.when_at(r.revision, over);
-        } else {
-            // Refused or unknown: the next tick tries again. If the first one is executed late,
-            // its conditions fail or it says the same.
-            for (const auto& key : taken) {
-                ctx_.busy.erase(key);
+            for (const auto& uid : uids) {
+                if (auto it = outcomes_.find(uid); it != outcomes_.end()) {
+                    it->second.look = true;
+                }
             }
-        }
+        });
     });
 }
 
@@ -453,12 +520,12 @@
         return;
     }
     std::size_t ops = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
-    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
-        bool orphan = job.revision == 0;
-        bool over = !orphan && (job.complete() || (job.cancelled && job.placed() == 0));
-        if ((!over && !orphan) || finishing_.count(uid) != 0) {
+    for (const auto& uid : ctx_.jobs.over()) {
+        if (finishing_.count(uid) != 0) {
             continue;
         }
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        bool over = job.revision != 0;
         Txn txn;
         txn.conditions.push_back(ctx_.epoch_condition());
         if (over) {
@@ -497,6 +564,7 @@
     WorkerReply reply;
     reply.request = *m.request;
     m.request.reset();
+    asking_.erase(m.name);
     if (!members_.may_answer_workers() || !m.mine) {
         reply.status = m.mine ? 503 : 421;
         ctx_.out.emplace_back(reply);
@@ -535,7 +603,8 @@
             }
             Attempt attempt{id, p->attempt};
             auto concluded = outcomes_.find(id.uid);
-            bool ending = concluded != outcomes_.end() && concluded->second.count(id.index) != 0;
+            bool ending =
+                concluded != outcomes_.end() && concluded->second.tasks.count(id.index) != 0;
             if (m.tasks.count(attempt) != 0 || live.count(id) != 0 || ending) {
                 continue;
             }
@@ -549,33 +618,48 @@
 }
 
 void Fleet::settle_answers() {
-    for (auto& [name, m] : machines_) {
-        if (!m.request) {
-            continue;
+    auto asking = asking_;
+    for (const auto& name : asking) {
+        if (Machine* m = find(name)) {
+            settle(*m);
         }
-        bool late = ctx_.now.steady >= m.answer_by;
-        if (!late && (m.claims > 0 || outcomes_pending(m))) {
-            continue;
-        }
-        // Something to say: say it now.
-        bool start_due = false;
-        for (const auto& id : ctx_.jobs.on_machine(name)) {
-            const Job* job = ctx_.jobs.find(id.uid);
-            const Placement* p = ctx_.jobs.placement(id);
-            if (job != nullptr && p != nullptr && wants_start(m, *job) &&
-                m.tasks.count({id, p->attempt}) == 0) {
-                start_due = true;
-            }
-        }
-        bool empty = m.tasks.empty() && !start_due;
-        if (empty && usable(m) && !late) {
-            // Without tasks the worker has nothing to report: its answer is kept open for a
-            // while, so that a job that comes meanwhile starts without waiting for a report.
-            m.answer_by = std::max(m.answer_by, m.last_report + constants::idle_hold_s);
+    }
+}
+
+void Fleet::settle(Machine& m) {
+    if (!m.request) {
+        return;
+    }
+    bool late = ctx_.now.steady >= m.answer_by;
+    if (!late && m.claims > 0) {
+        return;
+    }
+    // Something to say: say it now.
+    bool start_due = false;
+    bool news = false;  // whether the worker may soon have something to report
+    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
+        const Job* job = ctx_.jobs.find(id.uid);
+        const Placement* p = ctx_.jobs.placement(id);
+        if (job == nullptr || p == nullptr) {
             continue;
         }
-        answer(m);
+        auto t = m.tasks.find({id, p->attempt});
+        start_due = start_due || (t == m.tasks.end() && wants_start(m, *job));
+        news = news || job->cancelled || job->spec.kind != JobKind::service ||
+               t == m.tasks.end() || t->second.state != TaskState::running;
+    }
+    bool offer = !start_due && usable(m);
+    if (offer && !late && !m.considered) {
+        return;  // the next round is a moment away
+    }
+    news = news || m.tasks.size() > ctx_.jobs.on_machine(m.name).size();
+    if (offer && !news && !late && room(m).cpus > Resources::slack) {
+        // Nothing ends there by itself, so the worker has nothing to report: its answer is kept
+        // open for a while, and a job that comes meanwhile starts without waiting for a report.
+        m.answer_by = std::max(m.answer_by, m.last_report + constants::idle_hold_s);
+        return;
     }
+    answer(m);
 }
 
 // --- stops --------------------------------------------------------------------------------
@@ -606,6 +690,7 @@
     it->second.grace_s = grace_s;
     if (m.adopted && m.reported) {
         send_stop(m, task, it->second);
+        answer(m);  // a worker with a report in flight could not tell that the task ended
     }
 }
 
@@ -636,6 +721,7 @@
     int taken = 0;
     for (auto& [name, m] : machines_) {
         bool mine = members_.mine(name, m.zone);
+        m.room_known = false;
         if (mine && m.mine && next) {
             continue;
         }
@@ -653,7 +739,7 @@
             m.owned_since = ctx_.now.steady;
             m.probe_failures = 0;
             ++taken;
-            raise_token(m, 2);
+            to_raise_.push_back(name);
         }
     }
     if (taken > 0) {
@@ -661,6 +747,18 @@
     }
 }
 
+// A few at a time: hundreds of connections at once would cost a slow controller seconds, while
+// its other workers and its lease wait. Those that report meanwhile are adopted that way.
+void Fleet::raise_tokens() {
+    for (int i = 0; i < constants::raise_per_tick && !to_raise_.empty(); ++i) {
+        Machine* m = find(to_raise_.front());
+        to_raise_.pop_front();
+        if (m != nullptr && m->mine && !m->adopted) {
+            raise_token(*m, 2);
+        }
+    }
+}
+
 void Fleet::raise_token(Machine& m, int tries) {
     if (m.address.empty() || tries == 0 || ctx_.jobs.mark(m.name) != nullptr) {
         return;
@@ -686,7 +784,6 @@
             ctx_.info("machine {}: adopted in session {} with {} tasks", name, m->session,
                       m->tasks.size());
             observe(*m, false);
-            flush();
         } else {
             raise_token(*m, tries - 1);  // its session was another than we thought
         }
@@ -697,6 +794,7 @@
     for (const auto& l : list) {
         Machine& m = machines_[l.name];
         bool known = !m.name.empty();
+        m.room_known = m.room_known && m.type == l.type;
         m.name = l.name;
         m.address = l.address;
         m.type = l.type;
@@ -718,7 +816,7 @@
             m.adopted = false;
             m.owned_since = ctx_.now.steady;
             if (l.state == ListedState::running) {
-                raise_token(m, 2);
+                to_raise_.push_back(m.name);
             }
         }
     }
@@ -784,19 +882,26 @@
     return it == failures_.end() ? -1e9 : it->second.not_before;
 }
 
-namespace {
-double count_since(const std::map<std::string, double>& times, double since) {
-    return static_cast<double>(std::count_if(times.begin(), times.end(),
-                                             [&](const auto& t) { return t.second >= since; }));
+std::pair<double, double> Fleet::whole_machine_arrivals(double since_wall) const {
+    std::pair<double, double> sums;
+    for (const auto& [uid, at] : whole_) {
+        if (at.first >= since_wall) {
+            sums.first += at.second;
+            sums.second += static_cast<double>(at.second) * at.second;
+        }
+    }
+    return sums;
 }
-}  // namespace
 
-double Fleet::whole_machine_arrivals(double since_wall) const {
-    return count_since(whole_, since_wall);
+double Fleet::cheap_arrivals(double since_wall) const {
+    return static_cast<double>(std::count_if(
+        cheap_.begin(), cheap_.end(), [&](const auto& t) { return t.second.first >= since_wall; }));
 }
 
-double Fleet::cheap_arrivals(double since_wall) const {
-    return count_since(cheap_, since_wall);
+double Fleet::silence_s() const {
+    return ctx_.tunables.silence_s > 0
+               ? ctx_.tunables.silence_s
+               : ctx_.settings.report_s * constants::report_spread + constants::silence_margin_s;
 }
 
 double Fleet::placed_at(const TaskId& id) const {
@@ -804,34 +909,39 @@
     return it == placed_at_.end() ? ctx_.now.steady : it->second;
 }
 
-void Fleet::note_arrivals() {
-    if (types_.empty()) {
+void Fleet::note_arrival(const std::string& uid, const Job& job) {
+    if (job.submitted_wall < ctx_.now.wall - constants::arrivals_s) {
         return;
     }
-    double old = ctx_.now.wall - constants::arrivals_s;
-    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
-        if (job.revision == 0 || job.submitted_wall < old) {
-            continue;
-        }
-        Resources two = job.spec.each * 2;
-        bool two_fit = std::any_of(types_.begin(), types_.end(),
-                                   [&](const MachineType& t) { return two.fits_in(t.size); });
-        if (!two_fit) {
-            whole_.try_emplace(uid, job.submitted_wall);
-        }
-        // Without checkpoints a machine that is taken back costs all the work on it: such jobs
-        // use cheap machines that are there, but none are kept for them.
-        if (job.spec.spot && job.spec.checkpoint_s > 0) {
-            cheap_.try_emplace(uid, job.submitted_wall);
-        }
+    Resources two = job.spec.each * 2;
+    bool two_fit = std::any_of(types_.begin(), types_.end(),
+                               [&](const MachineType& t) { return two.fits_in(t.size); });
+    if (!two_fit) {
+        whole_.try_emplace(uid, job.submitted_wall, job.spec.tasks);
     }
-    for (auto* times : {&whole_, &cheap_}) {
-        std::erase_if(*times, [&](const auto& t) { return t.second < old; });
+    // Without checkpoints a machine that is taken back costs all the work on it: such jobs
+    // use cheap machines that are there, but none are kept for them.
+    if (job.spec.spot && job.spec.checkpoint_s > 0) {
+        cheap_.try_emplace(uid, job.submitted_wall, job.spec.tasks);
+    }
+}
+
+// A task that must end: its job was cancelled or its gang lost a part.
+void Fleet::stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p) {
+    if (!m.mine || !m.adopted || !(job.cancelled || gang_broken(job))) {
+        return;
+    }
+    Attempt attempt{id, p.attempt};
+    auto t = m.tasks.find(attempt);
+    bool exited = t != m.tasks.end() && t->second.state == TaskState::exited;
+    // A start that has gone out but isn't reported yet must be stopped as well.
+    bool there = t != m.tasks.end() || m.run_sent.count(attempt) != 0;
+    if (there && !exited) {
+        stop(m, attempt, 0);
     }
 }
 
 void Fleet::records_changed() {
-    note_arrivals();
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
         placed_at_[id] = ctx_.now.steady;
         const Job* job = ctx_.jobs.find(id.uid);
@@ -848,36 +958,38 @@
         }
         touch_image(m, job->spec.image, job->spec.image_gb);
     }
-    for (auto& [name, m] : machines_) {
-        const auto& placed = ctx_.jobs.on_machine(name);
-        if (!placed.empty()) {
-            m.empty_since = -1;
-        } else if (m.empty_since < 0) {
-            m.empty_since = ctx_.now.steady;
+    for (const auto& name : ctx_.jobs.take_touched_machines()) {
+        Machine* m = find(name);
+        if (m == nullptr) {
+            continue;
+        }
+        m->room_known = false;
+        if (!ctx_.jobs.on_machine(name).empty()) {
+            m->empty_since = -1;
+        } else if (m->empty_since < 0) {
+            m->empty_since = ctx_.now.steady;
+        }
+        settle(*m);
+    }
+    for (const auto& uid : ctx_.jobs.take_touched_jobs()) {
+        if (auto it = outcomes_.find(uid); it != outcomes_.end()) {
+            it->second.look = true;
         }
-        if (!m.mine || !m.adopted) {
+        const Job* job = ctx_.jobs.find(uid);
+        if (job == nullptr) {
             continue;
         }
-        for (const auto& id : placed) {
-            const Job* job = ctx_.jobs.find(id.uid);
-            const Placement* p = ctx_.jobs.placement(id);
-            if (job == nullptr || p == nullptr) {
-                continue;
+        note_arrival(uid, *job);
+        job->each_placement([&](int task, const Placement& p) {
+            if (Machine* m = find(p.machine)) {
+                stop_unwanted(*m, *job, {uid, task}, p);
             }
-            Attempt attempt{id, p->attempt};
-            auto t = m.tasks.find(attempt);
-            bool exited = t != m.tasks.end() && t->second.state == TaskState::exited;
-            // A start that has gone out but isn't reported yet must be stopped as well.
-            bool there = (t != m.tasks.end() && !exited) || m.run_sent.count(attempt) != 0;
-            if (there && !exited && (job->cancelled || gang_broken(*job))) {
-                stop(m, attempt, 0);
-            }
-        }
+            return true;
+        });
     }
     if (members_.leading()) {
         conclude_gone();
     }
-    flush();
 }
 
 // The cloud's answer to a release is the proof that everything on the machine has ended.
@@ -896,15 +1008,32 @@
 }
 
 void Fleet::tick() {
+    raise_tokens();
+    if (ctx_.now.steady >= next_sweep_) {
+        next_sweep_ = ctx_.now.steady + constants::sweep_every_s;
+        sweep();
+    }
+    flush();
+    finish_jobs();
+    settle_answers();
+}
+
+// Looks at every machine: the silent, the faulty, the failed, and those that are no more.
+void Fleet::sweep() {
     double t = ctx_.now.steady;
     std::erase_if(placed_at_,
                   [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
+    for (auto* times : {&whole_, &cheap_}) {
+        double old = ctx_.now.wall - constants::arrivals_s;
+        std::erase_if(*times, [&](const auto& e) { return e.second.first < old; });
+    }
+    double silence = silence_s();
     int mine = 0;
     int silent = 0;
     for (auto& [name, m] : machines_) {
         if (m.mine && m.reported && m.adopted) {
             ++mine;
-            silent += t - std::max(m.last_report, m.owned_since) > ctx_.tunables.silence_s ? 1 : 0;
+            silent += t - std::max(m.last_report, m.owned_since) > silence ? 1 : 0;
         }
     }
     // When most machines fall silent at once, this process's own network is the likelier cause.
@@ -927,6 +1056,12 @@
             continue;
         }
         ++it;
+        bool placed = !ctx_.jobs.on_machine(m.name).empty();
+        if (placed) {
+            m.empty_since = -1;
+        } else if (m.empty_since < 0) {
+            m.empty_since = t;
+        }
         if (!ctx_.member || !m.mine || mk != nullptr) {
             continue;
         }
@@ -938,19 +1073,18 @@
                 send_stop(m, task, s);
             }
         }
-        bool placed = !ctx_.jobs.on_machine(m.name).empty();
         if (m.listed_state == ListedState::failed) {
             mark(m, "failed", true);
         } else if (m.reported || placed) {
             double quiet = t - heard;
-            double limit = ctx_.tunables.silence_s;
+            double limit = silence;
             if (silent == mine) {
                 // Perhaps only the way to it is cut: a worker needs this long to come back by
                 // way of another controller, which relays its reports.
                 limit = std::max(limit, constants::relay_detour_s);
             }
             if (suspect_self) {
-                limit = ctx_.settings.lease_s + ctx_.tunables.silence_s;
+                limit = ctx_.settings.lease_s + silence;
             }
             if (quiet > limit && m.probe_failures > 0) {
                 mark(m, "silent", true);
@@ -965,14 +1099,6 @@
             mark(m, "taken away soon", false);
         }
     }
-    flush();
-    finish_jobs();
-    for (auto& [name, m] : machines_) {
-        if (m.request && on_room && usable(m) && m.claims == 0) {
-            on_room(m);
-        }
-    }
-    settle_answers();
 }
 
 }  // namespace cranemoor::core
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -2,11 +2,11 @@
 // proofs that a task's place is empty, and what becomes of silent or faulty machines.
 #pragma once
 
-#include <functional>
-#include <list>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -55,7 +55,12 @@
     // the report that waits for its answer
     std::optional<std::uint64_t> request;
     double answer_by = 0;
-    int claims = 0;  // claims under way for it
+    int claims = 0;           // claims under way for it
+    bool considered = false;  // a round of the scheduler has seen it since that report
+
+    // room left, counted anew after a change; see Fleet::room
+    mutable Resources room;
+    mutable bool room_known = false;
 
     // as listed by the cloud
     bool listed = false;
@@ -68,8 +73,8 @@
     // Up as far as known here: only its owner gets its reports, the others have the list.
     bool up() const { return reported || running_since >= 0; }
 
-    // images it is thought to have cached, most recently used first
-    std::list<std::pair<std::string, double>> images;
+    // images it is thought to have cached, by number and size, most recently used first
+    std::vector<std::pair<int, double>> images;
 };
 
 class Fleet {
@@ -84,20 +89,22 @@
     void listed(const std::vector<ListedMachine>& machines);
     void set_types(const std::vector<MachineType>& types);
 
-    // Asked by the scheduler when a machine of ours has room and an open answer.
-    std::function<void(Machine&)> on_room;
-
     std::map<std::string, Machine>& machines() { return machines_; }
     Machine* find(const std::string& name);
     const MachineType* type(const std::string& name) const;
     const std::vector<MachineType>& types() const { return types_; }
-    bool has_image(const Machine& m, const std::string& image) const;
-    // Room left by claimed tasks and by tasks still reported there.
-    Resources room(const Machine& m) const;
+    // Images by number: comparing names on every look would cost more than all the rest.
+    int image_number(const std::string& image) const;
+    static bool has_image(const Machine& m, int image);
+    // Room left by claimed tasks and by tasks still reported there. A task that has exited takes
+    // none, also while the record of its end is still to be written.
+    const Resources& room(const Machine& m) const;
     // Whether new tasks may be claimed on it, as far as this controller knows.
     bool usable(const Machine& m) const;
     // Answers the open report now, with all commands due.
     void answer(Machine& m);
+    // Answers it if there is something to say or nothing to wait for.
+    void settle(Machine& m);
     void settle_answers();
     // Asks a task to stop, directly and with every response until it is gone.
     void stop(Machine& m, const Attempt& task, double grace_s);
@@ -105,13 +112,15 @@
     void mark(Machine& m, const std::string& why, bool fence);
     // A job whose tasks fail is left alone until then.
     double job_pause_until(const std::string& uid) const;
-    // Jobs submitted since then whose tasks take most of a machine.
-    double whole_machine_arrivals(double since_wall) const;
+    // Machines that jobs submitted since then take whole: the sum, and the sum of their squares.
+    std::pair<double, double> whole_machine_arrivals(double since_wall) const;
     // Jobs submitted since then that may use spot machines.
     double cheap_arrivals(double since_wall) const;
+    // Seconds without a report after which a machine is probed and then fenced.
+    double silence_s() const;
     // When a task's placement was first seen here.
     double placed_at(const TaskId& id) const;
-    // Writes what was observed; also called when earlier writes are done.
+    // Writes what was observed and is due.
     void flush();
     static bool gang_broken(const Job& job);
     void finish_jobs();
@@ -124,6 +133,12 @@
         std::string why;
         std::string machine;
     };
+    // Outcomes of one job's tasks that are not written yet.
+    struct Pending {
+        std::map<int, Outcome> tasks;
+        double since = 0;  // of the oldest
+        bool look = true;  // whether something changed since it was last looked at
+    };
     struct Failures {
         std::set<std::string> machines;
         int count = 0;
@@ -141,20 +156,27 @@
     void touch_image(Machine& m, const std::string& image, double gb);
     void refuse(std::uint64_t request, int status, const std::string& home = "");
     void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
-    void note_arrivals();
+    void note_arrival(const std::string& uid, const Job& job);
     void forget_outcomes(const std::string& machine);
-    bool outcomes_pending(const Machine& m) const;
+    bool due(const Job& job, const Pending& pending) const;
+    void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
+    void sweep();
+    void raise_tokens();
 
     Context& ctx_;
     Membership& members_;
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
-    std::map<std::string, std::map<int, Outcome>> outcomes_;  // by job, by task
+    mutable std::unordered_map<std::string, int> image_numbers_;
+    std::set<std::string> asking_;             // machines whose report waits for its answer
+    std::map<std::string, Pending> outcomes_;  // by job
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
-    // submission times of such jobs
-    std::map<std::string, double> whole_;
-    std::map<std::string, double> cheap_;
+    // submission time and machines of such jobs
+    std::map<std::string, std::pair<double, int>> whole_;
+    std::map<std::string, std::pair<double, int>> cheap_;
+    std::deque<std::string> to_raise_;  // taken over, their token still to be raised
+    double next_sweep_ = 0;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
 };
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -1,6 +1,7 @@
 #include "core/jobs.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranemoor::core {
 
@@ -16,30 +17,6 @@
     return it == blocks.end() ? none : it->second;
 }
 
-int Job::done() const {
-    int n = 0;
-    for (const auto& [k, b] : blocks) {
-        n += b.done_count();
-    }
-    return n;
-}
-
-int Job::placed() const {
-    int n = 0;
-    for (const auto& [k, b] : blocks) {
-        n += static_cast<int>(b.placed.size());
-    }
-    return n;
-}
-
-std::vector<std::pair<int, Placement>> Job::placements() const {
-    std::vector<std::pair<int, Placement>> all;
-    for (const auto& [k, b] : blocks) {
-        all.insert(all.end(), b.placed.begin(), b.placed.end());
-    }
-    return all;
-}
-
 std::optional<int> Job::first_open(int index) const {
     const Block& b = block(index);
     for (int t = block_first(index); t <= block_last(index); ++t) {
@@ -86,22 +63,99 @@
 void Jobs::index(const Job& job, const Block& block, int sign) {
     for (const auto& [task, p] : block.placed) {
         TaskId id{job.spec.uid, task};
+        OnMachine& on = by_machine_[p.machine];
         if (sign > 0) {
-            by_machine_[p.machine].insert(id);
+            on.tasks.insert(id);
+            on.used += job.spec.each;
         } else {
-            auto it = by_machine_.find(p.machine);
-            if (it != by_machine_.end()) {
-                it->second.erase(id);
-                if (it->second.empty()) {
-                    by_machine_.erase(it);
-                }
+            on.tasks.erase(id);
+            on.used -= job.spec.each;
+            if (on.tasks.empty()) {
+                by_machine_.erase(p.machine);
             }
         }
+        touched_machines_.insert(p.machine);
         used_[job.spec.team] += job.spec.each * sign;
         used_by_[{job.spec.team, p.charge}] += job.spec.each * sign;
     }
 }
 
+void Jobs::classify(const std::string& uid, Job& job) {
+    job.done_total = 0;
+    job.placed_total = 0;
+    for (const auto& [k, b] : job.blocks) {
+        job.done_total += b.done_count();
+        job.placed_total += static_cast<int>(b.placed.size());
+    }
+    bool live = job.revision != 0;
+    auto keep = [&](std::set<std::string>& in, bool member) {
+        if (member) {
+            in.insert(uid);
+        } else {
+            in.erase(uid);
+        }
+    };
+    keep(cancelled_, live && job.cancelled);
+    keep(over_, !live || job.complete() || (job.cancelled && job.placed() == 0));
+    if (live && !job.cancelled && job.open() > 0) {
+        open_.insert(&job);
+    } else {
+        open_.erase(&job);
+    }
+    touched_jobs_.insert(uid);
+}
+
+void Jobs::erase(const std::string& uid) {
+    auto it = jobs_.find(uid);
+    open_.erase(&it->second);
+    cancelled_.erase(uid);
+    over_.erase(uid);
+    touched_jobs_.insert(uid);
+    jobs_.erase(it);
+}
+
+bool Jobs::indexes_agree() const {
+    std::size_t open = 0;
+    std::size_t cancelled = 0;
+    std::size_t over = 0;
+    std::unordered_map<std::string, OnMachine> by_machine;
+    for (const auto& [uid, job] : jobs_) {
+        int done = 0;
+        int placed = 0;
+        for (const auto& [k, b] : job.blocks) {
+            done += b.done_count();
+            placed += static_cast<int>(b.placed.size());
+            for (const auto& [task, p] : b.placed) {
+                if (job.revision != 0) {
+                    by_machine[p.machine].tasks.insert({uid, task});
+                    by_machine[p.machine].used += job.spec.each;
+                }
+            }
+        }
+        bool live = job.revision != 0;
+        bool is_open = live && !job.cancelled && job.spec.tasks > done + placed;
+        bool is_over = !live || done == job.spec.tasks || (job.cancelled && placed == 0);
+        open += is_open ? 1 : 0;
+        cancelled += live && job.cancelled ? 1 : 0;
+        over += is_over ? 1 : 0;
+        if (done != job.done_total || placed != job.placed_total ||
+            is_open != (open_.count(&job) != 0) || is_over != (over_.count(uid) != 0) ||
+            (live && job.cancelled) != (cancelled_.count(uid) != 0)) {
+            return false;
+        }
+    }
+    if (open != open_.size() || cancelled != cancelled_.size() || over != over_.size() ||
+        by_machine.size() != by_machine_.size()) {
+        return false;
+    }
+    return std::all_of(by_machine.begin(), by_machine.end(), [&](const auto& m) {
+        const OnMachine& on = by_machine_.at(m.first);
+        Resources gap = on.used - m.second.used;
+        return on.tasks == m.second.tasks && std::abs(gap.cpus) < Resources::slack &&
+               std::abs(gap.gpus) < Resources::slack && std::abs(gap.memory_gb) < Resources::slack;
+    });
+}
+
 void Jobs::put(const std::string& key, const Json& value, Revision revision) {
     revisions_[key] = revision;
     if (key == keys::epoch) {
@@ -109,7 +163,8 @@
     } else if (has_prefix(key, "c/m/")) {
         member_keys_[key] = decode_member(value);
     } else if (has_prefix(key, "c/j/")) {
-        Job& job = jobs_[value.at("uid").get<std::string>()];
+        auto uid = value.at("uid").get<std::string>();
+        Job& job = jobs_[uid];
         bool first = job.revision == 0;
         job.spec = decode_job_spec(value);
         job.submitted_wall = value.at("submitted").get<double>();
@@ -122,6 +177,7 @@
                 index(job, b, 1);
             }
         }
+        classify(uid, job);
     } else if (has_prefix(key, "c/b/")) {
         // c/b/<uid>/<index>
         auto slash = key.rfind('/');
@@ -151,6 +207,7 @@
         if (job.revision != 0) {
             index(job, job.blocks[k], 1);
         }
+        classify(uid, job);
     } else if (has_prefix(key, "c/q/")) {
         Slices s = decode_slices(value);
         s.revision = revision;
@@ -176,7 +233,9 @@
             }
             it->second.revision = 0;
             if (it->second.blocks.empty()) {
-                jobs_.erase(it);
+                erase(it->first);
+            } else {
+                classify(it->first, it->second);
             }
         }
     } else if (has_prefix(key, "c/b/")) {
@@ -191,7 +250,9 @@
                 it->second.blocks.erase(b);
             }
             if (it->second.revision == 0 && it->second.blocks.empty()) {
-                jobs_.erase(it);
+                erase(it->first);
+            } else {
+                classify(it->first, it->second);
             }
         }
     } else if (has_prefix(key, "c/q/")) {
@@ -214,7 +275,7 @@
 const std::set<TaskId>& Jobs::on_machine(const std::string& machine) const {
     static const std::set<TaskId> none;
     auto it = by_machine_.find(machine);
-    return it == by_machine_.end() ? none : it->second;
+    return it == by_machine_.end() ? none : it->second.tasks;
 }
 
 const Placement* Jobs::placement(const TaskId& id) const {
@@ -241,14 +302,10 @@
     return it == used_by_.end() ? Resources{} : it->second;
 }
 
-Resources Jobs::used_on(const std::string& machine) const {
-    Resources sum;
-    for (const auto& id : on_machine(machine)) {
-        if (const Job* job = find(id.uid)) {
-            sum += job->spec.each;
-        }
-    }
-    return sum;
+const Resources& Jobs::used_on(const std::string& machine) const {
+    static const Resources none;
+    auto it = by_machine_.find(machine);
+    return it == by_machine_.end() ? none : it->second.used;
 }
 
 std::vector<std::pair<TaskId, Placement>> Jobs::take_new_placements() {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/actions.hpp"
@@ -22,17 +23,29 @@
     bool cancelled = false;
     double cancelled_wall = 0;
     std::map<int, Block> blocks;
+    // running totals over the blocks, kept by Jobs
+    int done_total = 0;
+    int placed_total = 0;
 
     int block_count() const { return (spec.tasks + block_size - 1) / block_size; }
     int block_of(int task) const { return task / block_size; }
     int block_first(int block) const { return block * block_size; }
     int block_last(int block) const { return std::min(spec.tasks, (block + 1) * block_size) - 1; }
     const Block& block(int index) const;
-    int done() const;
-    int placed() const;
+    int done() const { return done_total; }
+    int placed() const { return placed_total; }
     bool complete() const { return done() == spec.tasks; }
-    // all tasks with a place, as (task, placement)
-    std::vector<std::pair<int, Placement>> placements() const;
+    // Visits all tasks with a place as (task, placement), until the visitor returns false.
+    template <typename Visit>
+    void each_placement(Visit visit) const {
+        for (const auto& [k, b] : blocks) {
+            for (const auto& [task, p] : b.placed) {
+                if (!visit(task, p)) {
+                    return;
+                }
+            }
+        }
+    }
     std::optional<int> first_open(int block) const;  // a task neither placed nor done
     int open() const { return spec.tasks - done() - placed(); }
 };
@@ -58,17 +71,33 @@
     const Mark* mark(const std::string& machine) const;
     const std::map<std::string, Slices>& slices() const { return slices_; }  // by key
     const std::set<TaskId>& on_machine(const std::string& machine) const;
-    const std::map<std::string, std::set<TaskId>>& machines_used() const { return by_machine_; }
+    // Indexes over jobs(), kept by the change stream: jobs with tasks to place, cancelled ones,
+    // and those that are over or whose job record is gone.
+    const std::unordered_set<const Job*>& open() const { return open_; }
+    const std::set<std::string>& cancelled() const { return cancelled_; }
+    const std::set<std::string>& over() const { return over_; }
+    // What those indexes must equal, counted anew; for tests.
+    bool indexes_agree() const;
     const Placement* placement(const TaskId& id) const;
     // what claimed tasks of a team take, all or those charged to one member
     const Resources& used(const std::string& team) const;
     Resources used(const std::string& team, std::uint64_t charge) const;
     // what claimed tasks take on a machine
-    Resources used_on(const std::string& machine) const;
+    const Resources& used_on(const std::string& machine) const;
     // placements that appeared since the last call, for the image estimate
     std::vector<std::pair<TaskId, Placement>> take_new_placements();
+    // machines whose placements changed, and jobs that changed, since the last call
+    std::set<std::string> take_touched_machines() { return std::exchange(touched_machines_, {}); }
+    std::set<std::string> take_touched_jobs() { return std::exchange(touched_jobs_, {}); }
 
   private:
+    struct OnMachine {
+        std::set<TaskId> tasks;
+        Resources used;
+    };
+    void classify(const std::string& uid, Job& job);
+    void erase(const std::string& uid);
+
     void put(const std::string& key, const Json& value, Revision revision);
     void drop(const std::string& key);
     void index(const Job& job, const Block& block, int sign);
@@ -81,7 +110,12 @@
     std::map<std::string, Job> jobs_;
     std::map<std::string, Mark> marks_;
     std::map<std::string, Slices> slices_;
-    std::map<std::string, std::set<TaskId>> by_machine_;
+    std::unordered_map<std::string, OnMachine> by_machine_;
+    std::unordered_set<const Job*> open_;
+    std::set<std::string> cancelled_;
+    std::set<std::string> over_;
+    std::set<std::string> touched_machines_;
+    std::set<std::string> touched_jobs_;
     std::map<std::string, Resources> used_;
     std::map<std::pair<std::string, std::uint64_t>, Resources> used_by_;
     std::vector<std::pair<TaskId, Placement>> fresh_;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -20,8 +20,16 @@
     }
     double t = ctx_.now.steady;
     if (!list_open_ && t >= next_list_) {
+        // As often as the list is renewed, and no more pages than a share of the calls allows.
+        bool leading = members_.leading();
+        double pages =
+            1 + std::floor(static_cast<double>(fleet_.machines().size()) / constants::machines_page);
+        double calls = ctx_.settings.cloud_rps *
+                       (leading ? constants::list_share : constants::list_share_others);
+        double every = leading ? constants::list_every_s : constants::list_every_others_s;
         next_list_ =
-            t + (members_.leading() ? constants::list_every_s : constants::list_every_others_s);
+            t + std::max({every, ctx_.settings.list_lag_s * constants::list_lag_factor,
+                          pages / calls});
         list("");
     }
     if (!members_.leading() || !members_.in_contact() || fleet_.types().empty()) {
@@ -165,8 +173,12 @@
     for (const auto& t : fleet_.types()) {
         boot = std::max(boot, t.boot_s);
     }
-    double recent = fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
-    double asked = recent / constants::arrivals_s * boot * constants::headroom_margin;
+    // About as many machines become free as are asked for; what must be kept is the swing, which
+    // is large where one job takes many machines.
+    auto [sum, squares] =
+        fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
+    double swing = std::sqrt(squares / constants::arrivals_s * boot);
+    double asked = std::min(sum, swing * constants::headroom_margin);
     return static_cast<int>(std::ceil(std::min(asked, ctx_.tunables.headroom_machines)));
 }
 
@@ -254,12 +266,13 @@
 
 std::optional<std::string> Provisioner::pick_zone(const std::string& type, bool spot,
                                                   const std::optional<std::string>& only,
-                                                  std::map<std::string, int>& load) const {
+                                                  std::map<std::string, int>& load,
+                                                  const std::set<std::string>& barred) const {
     const MachineType* t = fleet_.type(type);
     std::optional<std::string> best;
     for (const auto& zone : t->zones) {
         auto full = no_capacity_until_.find({type, zone, spot});
-        if ((only && *only != zone) ||
+        if ((only && *only != zone) || barred.count(zone) != 0 ||
             (full != no_capacity_until_.end() && full->second > ctx_.now.steady)) {
             continue;
         }
@@ -278,6 +291,8 @@
     }
     std::map<Kind, int> wanted;
     std::map<std::string, Resources> planned;  // by team
+    // Room only shrinks while jobs are gone through: for each demand and zone, where to go on.
+    std::map<std::string, std::size_t> cursors;
     auto jobs = scheduler_.order();
     std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
         return std::tie(a->spec.each.gpus, a->spec.each.cpus) >
@@ -290,15 +305,44 @@
             continue;
         }
         std::optional<std::string> only = s.zone;
-        if (s.together) {
-            auto placed = job->placements();
-            if (!placed.empty()) {
-                only = placed.front().second.zone;
-            }
-        }
         std::map<std::string, int> in_zone;
-        for (const auto& [task, p] : job->placements()) {
+        job->each_placement([&](int, const Placement& p) {
             in_zone[p.zone]++;
+            if (s.together) {
+                only = p.zone;
+            }
+            return true;
+        });
+        // A job that may use cheap machines takes an empty ordinary one only if no cheap one can
+        // be had.
+        bool cheap = s.spot && pick_zone(type->name, true, only, load);
+        auto demands = Scheduler::demands(s) + (cheap ? "|cheap|" : "|");
+        auto fits = [&](const Bin& b) {
+            bool type_ok =
+                !s.types || std::find(s.types->begin(), s.types->end(), b.type) != s.types->end();
+            return type_ok && (!b.spot || s.spot) && (!cheap || b.spot || !b.empty) &&
+                   s.each.fits_in(b.room);
+        };
+        auto next = [&](const std::string& zone, std::size_t from) {
+            while (from < free.size() && (free[from].zone != zone || !fits(free[from]))) {
+                ++from;
+            }
+            return from;
+        };
+        if (s.together && !only && s.tasks > 1) {
+            // The zone with most room, so that little must be rented beside it.
+            int most = 0;
+            for (const auto& zone : type->zones) {
+                int found = 0;
+                for (std::size_t i = next(zone, cursors[demands + zone]);
+                     i < free.size() && found < s.tasks; i = next(zone, i + 1)) {
+                    ++found;
+                }
+                if (found > most) {
+                    most = found;
+                    only = zone;
+                }
+            }
         }
         for (int i = 0; i < job->open(); ++i) {
             Resources sum = planned[s.team] + s.each;
@@ -306,43 +350,43 @@
                 break;
             }
             planned[s.team] = sum;
-            Bin* found = nullptr;
-            // A job that may use cheap machines takes an empty ordinary one only if no cheap
-            // one can be had.
-            bool cheap = s.spot && pick_zone(type->name, true, only, load);
-            for (auto& b : free) {
-                bool type_ok = !s.types || std::find(s.types->begin(), s.types->end(), b.type) !=
-                                               s.types->end();
-                bool spread_ok = !s.spread || in_zone[b.zone] < (s.tasks + 1) / 2;
-                if (type_ok && spread_ok && (!only || *only == b.zone) && (!b.spot || s.spot) &&
-                    (!cheap || b.spot || !b.empty) && s.each.fits_in(b.room)) {
-                    found = &b;
-                    break;
+            std::size_t found = free.size();
+            std::set<std::string> barred;  // where the job has all that its spread allows
+            for (const auto& zone : type->zones) {
+                if (s.spread && in_zone[zone] >= (s.tasks + 1) / 2) {
+                    barred.insert(zone);
+                    continue;
                 }
+                if (only && *only != zone) {
+                    continue;
+                }
+                std::size_t& cursor = cursors[demands + zone];
+                cursor = next(zone, cursor);
+                found = std::min(found, cursor);
             }
-            if (found == nullptr) {
+            if (found == free.size()) {
                 bool spot = s.spot;
-                auto zone = pick_zone(type->name, spot, only, load);
+                auto zone = pick_zone(type->name, spot, only, load, barred);
                 if (!zone && spot) {
                     spot = false;
-                    zone = pick_zone(type->name, spot, only, load);
+                    zone = pick_zone(type->name, spot, only, load, barred);
                 }
                 if (!zone) {
                     break;
                 }
                 // One look's worth: what a larger job needs beyond it, the next looks see.
-                if (++wanted[{type->name, *zone, spot}] > constants::rental_max) {
+                if (++wanted[{type->name, *zone, spot}] > constants::rental_look) {
                     break;
                 }
                 load[*zone]++;
                 free.push_back({*zone, type->name, spot, true, type->size});
-                found = &free.back();
             }
-            found->room -= s.each;
-            found->empty = false;
-            in_zone[found->zone]++;
+            Bin& bin = free[found];
+            bin.room -= s.each;
+            bin.empty = false;
+            in_zone[bin.zone]++;
             if (s.together && !only) {
-                only = found->zone;
+                only = bin.zone;
             }
         }
     }
@@ -355,7 +399,7 @@
     for (const auto& t : fleet_.types()) {
         base = base == nullptr || t.price < base->price ? &t : base;
     }
-    for (; base != nullptr && spare < headroom(); ++spare) {
+    for (int wish = headroom(); base != nullptr && spare < wish; ++spare) {
         auto zone = pick_zone(base->name, false, std::nullopt, load);
         if (!zone) {
             break;
@@ -376,11 +420,14 @@
         }
     }
     for (const auto& [kind, count] : wanted) {
-        Rental r;
-        r.request = fmt::format("{}-{}-{}", ctx_.settings.name, ctx_.token, ++rentals_made_);
-        r.kind = kind;
-        r.count = std::min(count, constants::rental_max);
-        rentals_.push_back(r);
+        for (int left = std::min(count, constants::rental_look); left > 0;
+             left -= constants::rental_max) {
+            Rental r;
+            r.request = fmt::format("{}-{}-{}", ctx_.settings.name, ctx_.token, ++rentals_made_);
+            r.kind = kind;
+            r.count = std::min(left, constants::rental_max);
+            rentals_.push_back(r);
+        }
     }
     for (auto& r : rentals_) {
         if (!r.open && ctx_.now.steady >= r.next_try) {
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -55,7 +55,8 @@
     // The zone to rent in: allowed, with capacity as far as known, and fewest machines.
     std::optional<std::string> pick_zone(const std::string& type, bool spot,
                                          const std::optional<std::string>& only,
-                                         std::map<std::string, int>& load) const;
+                                         std::map<std::string, int>& load,
+                                         const std::set<std::string>& barred = {}) const;
     const MachineType* cheapest(const JobSpec& spec) const;
 
     Context& ctx_;
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -79,9 +79,15 @@
     }
     Slices next = trimmed(*t);
     Resources& slice = next.held[ctx_.me.id];
-    slice = {std::max(slice.cpus, wanted.cpus), std::max(slice.gpus, wanted.gpus),
-             std::max(slice.memory_gb, wanted.memory_gb)};
-    if (!within(next.total(), *t)) {
+    const Resources before = slice;
+    auto grow = [&](const Resources& to) {
+        slice = {std::max(before.cpus, to.cpus), std::max(before.gpus, to.gpus),
+                 std::max(before.memory_gb, to.memory_gb)};
+        return within(next.total(), *t);
+    };
+    // More than is needed now, while there is enough for everybody: the next claims then leave
+    // the record alone.
+    if (!grow(wanted + t->limit * constants::slice_grain) && !grow(wanted)) {
         return false;
     }
     for (auto& w : txn.writes) {
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -23,7 +23,7 @@
     r.status = status;
     r.uid = job.spec.uid;
     int running = 0;
-    for (const auto& [task, p] : job.placements()) {
+    job.each_placement([&](int task, const Placement& p) {
         const Machine* m = fleet_.find(p.machine);
         // What other members' machines do is not known here; a place counts as running.
         bool known = m != nullptr && m->mine && m->adopted;
@@ -32,7 +32,8 @@
         if (!known || (t != m->tasks.end() && t->second.state == TaskState::running)) {
             ++running;
         }
-    }
+        return true;
+    });
     if (job.cancelled) {
         r.state = "cancelled";
     } else {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -32,34 +32,69 @@
                   (weight > 0 ? weight : 1.0);
         teams[t.name] = r;
     }
-    std::vector<const Job*> list;
-    for (const auto& [uid, job] : ctx_.jobs.jobs()) {
-        if (job.revision != 0 && !job.cancelled && job.open() > 0 &&
-            ctx_.now.steady >= fleet_.job_pause_until(uid)) {
-            list.push_back(&job);
-        }
-    }
-    std::sort(list.begin(), list.end(), [&](const Job* a, const Job* b) {
-        if (a->spec.team != b->spec.team) {
-            const Rank& x = teams[a->spec.team];
-            const Rank& y = teams[b->spec.team];
-            if (x.below != y.below) {
-                return x.below;
+    struct Entry {
+        const Job* job;
+        const Rank* team;
+        bool home;
+    };
+    static const Rank none;
+    std::vector<Entry> list;
+    list.reserve(ctx_.jobs.open().size());
+    for (const Job* job : ctx_.jobs.open()) {
+        if (ctx_.now.steady >= fleet_.job_pause_until(job->spec.uid)) {
+            auto t = teams.find(job->spec.team);
+            list.push_back({job, t == teams.end() ? &none : &t->second, turn(*job) == 0});
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const Entry& x, const Entry& y) {
+        const JobSpec& a = x.job->spec;
+        const JobSpec& b = y.job->spec;
+        if (a.team != b.team) {
+            if (x.team->below != y.team->below) {
+                return x.team->below;
             }
-            if (x.below && x.deficit != y.deficit) {
-                return x.deficit > y.deficit;
+            if (x.team->below && x.team->deficit != y.team->deficit) {
+                return x.team->deficit > y.team->deficit;
             }
-            if (!x.below && x.share != y.share) {
-                return x.share < y.share;
+            if (!x.team->below && x.team->share != y.team->share) {
+                return x.team->share < y.team->share;
             }
-            return a->spec.team < b->spec.team;
+            return a.team < b.team;
+        }
+        if (a.priority != b.priority) {
+            return a.priority > b.priority;
         }
-        if (a->spec.priority != b->spec.priority) {
-            return a->spec.priority > b->spec.priority;
+        // Of equals each member first takes those that are its own to place: members that claim
+        // from the same job at once fail each other.
+        if (x.home != y.home) {
+            return x.home;
         }
-        return std::tie(a->submitted_wall, a->spec.uid) < std::tie(b->submitted_wall, b->spec.uid);
+        return std::tie(x.job->submitted_wall, a.uid) < std::tie(y.job->submitted_wall, b.uid);
     });
-    return list;
+    std::vector<const Job*> jobs;
+    jobs.reserve(list.size());
+    for (const auto& e : list) {
+        jobs.push_back(e.job);
+    }
+    return jobs;
+}
+
+// This member's place in the order in which members look at a new job. A zone is drawn first, so
+// that each zone's machines get their share whatever the number of members in it.
+std::size_t Scheduler::turn(const Job& job) const {
+    const auto& epoch = ctx_.jobs.epoch();
+    if (!epoch) {
+        return 0;
+    }
+    auto draw = [&](const Member& m) {
+        bool wanted = job.spec.zone && *job.spec.zone == m.zone;
+        return std::make_tuple(wanted, stable_hash(job.spec.uid + "|" + m.zone),
+                               stable_hash(job.spec.uid + "|" + m.name));
+    };
+    auto mine = draw(ctx_.me);
+    return static_cast<std::size_t>(
+        std::count_if(epoch->members.begin(), epoch->members.end(),
+                      [&](const Member& m) { return draw(m) > mine; }));
 }
 
 bool Scheduler::allowed(const Job& job, const Machine& m) const {
@@ -76,14 +111,11 @@
         std::size_t pick = stable_hash(s.uid) % std::max<std::size_t>(1, zones.size());
         return !s.zone && pick < zones.size() ? zones[pick] == m.zone : true;
     }
+    bool fits = true;
     if (s.together) {
-        for (const auto& [task, p] : job.placements()) {
-            if (p.zone != m.zone) {
-                return false;
-            }
-        }
+        job.each_placement([&](int, const Placement& p) { return fits = p.zone == m.zone; });
     }
-    return true;
+    return fits;
 }
 
 int Scheduler::spread_room(const Job& job, int k, const std::string& zone) {
@@ -101,170 +133,231 @@
     return std::max(0, (size + 1) / 2 - there);
 }
 
-double Scheduler::rank(const Machine& m, const Job& job) const {
+// What decides whether a task fits a machine, apart from zone rules that depend on its job's
+// other tasks.
+std::string Scheduler::demands(const JobSpec& s) {
+    return fmt::format("{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb, s.spot,
+                       s.zone ? *s.zone : "", s.types ? fmt::format("{}", fmt::join(*s.types, ","))
+                                                      : "");
+}
+
+double Scheduler::rank(const Offer& offer, const Job& job) const {
     // Cheap machines first for jobs that may use them, machines in use next, and empty ordinary
     // ones last: those are kept whole for gangs that need one. Work that can wait a little goes
     // to the fullest machine, so that the others become empty.
+    const Machine& m = *offer.machine;
     if (job.spec.kind == JobKind::gang && job.done() == 0) {
         return m.spot ? 0 : 1;
     }
-    bool empty = ctx_.jobs.on_machine(m.name).empty();
-    if (empty && !m.spot) {
+    if (offer.empty && !m.spot) {
         return 3;
     }
     const MachineType* t = fleet_.type(m.type);
     bool patient = job.spec.priority <= Priority::normal;
-    double free =
-        patient && t != nullptr && t->size.cpus > 0 ? fleet_.room(m).cpus / t->size.cpus : 0;
-    return (m.spot ? 0 : 1.5) + free;
+    double free = patient && t != nullptr && t->size.cpus > 0 ? offer.room.cpus / t->size.cpus : 0;
+    // A start on a machine whose report was answered waits for its next one.
+    double wait = m.request ? 0 : constants::rank_step;
+    return (m.spot ? 0 : 1.5) + free + wait;
 }
 
-// Whether a better machine than this one has room for the job. The job then lets this one pass,
-// as it would one without its image, and for no longer than that.
-bool Scheduler::better_elsewhere(const Machine& m, const Job& job) const {
-    double here = rank(m, job);
-    bool local = fleet_.has_image(m, job.spec.image);
+// Whether a machine in use has room for small work that would otherwise break into an empty one.
+bool Scheduler::better_elsewhere(Round& round, const Offer& offer, const Job& job) const {
+    if (!offer.empty || offer.machine->spot) {
+        return false;
+    }
+    auto [it, first] = round.memo.try_emplace("used|" + demands(job.spec), false);
+    if (!first) {
+        return it->second;
+    }
     for (const auto& [name, other] : fleet_.machines()) {
-        if (name == m.name || !other.up() || ctx_.jobs.mark(name) != nullptr ||
-            other.notice_until || !allowed(job, other) ||
-            (local && !fleet_.has_image(other, job.spec.image)) ||
-            !job.spec.each.fits_in(fleet_.room(other))) {
-            continue;
-        }
-        if (rank(other, job) < here - constants::rank_step) {
-            return true;
+        if (other.up() && !ctx_.jobs.on_machine(name).empty() && !other.notice_until &&
+            job.spec.each.fits_in(fleet_.room(other)) && ctx_.jobs.mark(name) == nullptr &&
+            allowed(job, other)) {
+            it->second = true;
+            break;
         }
     }
-    return false;
+    return it->second;
 }
 
 // Whether work that may run on cheap machines should leave an empty ordinary one alone: a cheap
 // one is there or on its way.
-bool Scheduler::cheap_coming(const Machine& m, const Job& job) const {
-    if (m.spot || !job.spec.spot || job.spec.checkpoint_s <= 0 ||
-        job.spec.priority > Priority::normal || !ctx_.jobs.on_machine(m.name).empty()) {
+bool Scheduler::cheap_coming(Round& round, const Offer& offer, const Job& job) const {
+    if (offer.machine->spot || !job.spec.spot || job.spec.checkpoint_s <= 0 ||
+        job.spec.priority > Priority::normal || !offer.empty) {
         return false;
     }
+    auto [it, first] = round.memo.try_emplace("cheap|" + demands(job.spec), false);
+    if (!first) {
+        return it->second;
+    }
     for (const auto& [name, other] : fleet_.machines()) {
         const MachineType* t = fleet_.type(other.type);
-        if (!other.spot || t == nullptr || ctx_.jobs.mark(name) != nullptr || other.notice_until ||
-            !allowed(job, other)) {
+        if (!other.spot || t == nullptr || other.notice_until) {
             continue;
         }
         bool young = ctx_.now.steady - other.born < t->boot_s * constants::boot_late_factor;
-        if ((other.up() || young) && job.spec.each.fits_in(fleet_.room(other))) {
-            return true;
+        if ((other.up() || young) && job.spec.each.fits_in(fleet_.room(other)) &&
+            ctx_.jobs.mark(name) == nullptr && allowed(job, other)) {
+            it->second = true;
+            break;
         }
     }
-    return false;
+    return it->second;
+}
+
+void Scheduler::gather(Round& round, bool mine) const {
+    for (auto& [name, m] : fleet_.machines()) {
+        if (m.mine != mine) {
+            continue;
+        }
+        bool ok = mine ? fleet_.usable(m)
+                       : m.up() && !m.notice_until && ctx_.jobs.mark(name) == nullptr;
+        if (!ok) {
+            continue;
+        }
+        m.considered = true;
+        Offer offer;
+        offer.machine = &m;
+        offer.room = fleet_.room(m);
+        if (auto r = reserved_.find(name); r != reserved_.end()) {
+            offer.room -= r->second;
+        }
+        if (offer.room.cpus < Resources::slack) {
+            continue;
+        }
+        offer.mine = mine;
+        offer.empty = ctx_.jobs.on_machine(name).empty();
+        auto hold = holds_.find(name);
+        if (hold != holds_.end() && hold->second.until >= ctx_.now.steady) {
+            offer.holder = hold->second.uid;
+            offer.held = hold->second.priority;
+        }
+        round.offers.push_back(std::move(offer));
+    }
 }
 
-void Scheduler::opportunity(Machine& m) {
-    double dt = ctx_.now.steady - last_heartbeat_;
-    last_heartbeat_ = ctx_.now.steady;
+void Scheduler::round() {
+    double dt = ctx_.now.steady - last_round_;
+    last_round_ = ctx_.now.steady;
     for (auto& [uid, w] : waits_) {
         if (w.skipped) {
             w.wait += dt;
             w.skipped = false;
         }
     }
-    batch_images_.clear();
-    Resources room = fleet_.room(m);
-    if (auto r = reserved_.find(m.name); r != reserved_.end()) {
-        room -= r->second;
-    }
-    if (room.cpus < Resources::slack) {
+    Round round;
+    gather(round, true);
+    if (ctx_.jobs.open().empty()) {
         return;
     }
-    auto hold = holds_.find(m.name);
-    if (hold != holds_.end() && hold->second.until < ctx_.now.steady) {
-        holds_.erase(hold);
-        hold = holds_.end();
-    }
     for (const Job* job : order()) {
-        // Held room is for its job, and for more urgent ones.
-        bool kept = hold != holds_.end() && hold->second.uid != job->spec.uid &&
-                    job->spec.priority <= hold->second.priority;
-        if (!kept) {
-            walk_one(m, *job, room);
+        double since = open_since_.try_emplace(job->spec.uid, ctx_.now.steady).first->second;
+        double stagger = constants::home_stagger_s * static_cast<double>(turn(*job));
+        if (ctx_.now.steady - since >= stagger) {
+            walk(round, *job);
         }
     }
     send_batch();
 }
 
-bool Scheduler::walk_one(Machine& m, const Job& job, Resources& room) {
-    if (!allowed(job, m)) {
-        return false;
-    }
-    bool gang = job.spec.kind == JobKind::gang && job.done() == 0;
-    if (!job.spec.each.fits_in(room)) {
-        const MachineType* t = fleet_.type(m.type);
-        if (gang && t != nullptr && job.spec.each.fits_in(t->size)) {
-            hold_for(job);
+void Scheduler::walk(Round& round, const Job& job) {
+    const JobSpec& s = job.spec;
+    bool gang = s.kind == JobKind::gang && job.done() == 0;
+    Wait& w = waits_[s.uid];
+    if (gang && s.tasks > 1) {
+        if (!claim_gang(round, job, w)) {
+            hold_for(round, job);
         }
-        return false;
+        return;
     }
-    Wait& w = waits_[job.spec.uid];
-    bool local = fleet_.has_image(m, job.spec.image) || job.spec.image_gb <= 0;
-    bool fetch_waits = !local && slow_fetch(m, job.spec);
-    bool cheap = cheap_coming(m, job);
-    bool pass = cheap || fetch_waits || (!local && local_chance(job)) || better_elsewhere(m, job);
-    double most = longest_pass(m, job.spec, fetch_waits);
-    if (cheap) {
-        most = std::max(most, constants::cheap_pass_s);
+    auto key = demands(s);
+    if (round.hopeless.count(key) != 0) {
+        if (gang) {
+            hold_for(round, job);
+        }
+        return;
     }
-    if (pass && (w.level == 0 || cheap) && w.wait < most) {
-        w.skipped = true;
-        return false;
+    int image = fleet_.image_number(s.image);
+    bool fits = false;
+    std::vector<Choice> choices;
+    for (auto& offer : round.offers) {
+        if (!offer.mine || !s.each.fits_in(offer.room) || !allowed(job, *offer.machine)) {
+            continue;
+        }
+        fits = true;
+        // Held room is for its job, and for more urgent ones.
+        if (!offer.holder.empty() && offer.holder != s.uid && s.priority <= offer.held) {
+            continue;
+        }
+        bool local = s.image_gb <= 0 || Fleet::has_image(*offer.machine, image) ||
+                     std::count(offer.images.begin(), offer.images.end(), image) != 0;
+        bool fetch_waits = !local && slow_fetch(offer, s, image);
+        bool cheap = cheap_coming(round, offer, job);
+        bool pass = cheap || fetch_waits || (!local && local_chance(round, job)) ||
+                    (!gang && better_elsewhere(round, offer, job));
+        double most = longest_pass(*offer.machine, s, fetch_waits);
+        if (cheap) {
+            most = std::max(most, constants::cheap_pass_s);
+        }
+        if (pass && (w.level == 0 || cheap) && w.wait < most) {
+            w.skipped = true;
+            continue;
+        }
+        choices.push_back({&offer, local, rank(offer, job)});
     }
-    int n = 0;
-    if (gang && job.spec.tasks > 1) {
-        n = claim_gang(m, job) ? 1 : 0;
-    } else {
-        n = claim_tasks(m, job, room);
+    if (!fits) {
+        round.hopeless.insert(key);
     }
-    if (n > 0) {
+    std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
+        return std::make_tuple(!a.local, a.rank) < std::make_tuple(!b.local, b.rank);
+    });
+    if (!choices.empty() && claim_tasks(job, choices) > 0) {
         w.wait = 0;
-        w.level = local ? 0 : 1;
-        if (!(gang && job.spec.tasks > 1)) {
-            room -= job.spec.each * n;
-        }
+        w.level = choices.front().local ? 0 : 1;
+    } else if (gang && !fits) {
+        hold_for(round, job);
     }
-    return n > 0;
 }
 
 // Whether waiting may find the job a machine with its image: one that has room, or work that
 // ends. One full of services frees none, and waiting for it would cost a start its time.
-bool Scheduler::local_chance(const Job& job) const {
+bool Scheduler::local_chance(Round& round, const Job& job) const {
+    auto [it, first] =
+        round.memo.try_emplace("local|" + job.spec.image + "|" + demands(job.spec), false);
+    if (!first) {
+        return it->second;
+    }
+    int image = fleet_.image_number(job.spec.image);
     for (const auto& [name, m] : fleet_.machines()) {
-        if (!fleet_.has_image(m, job.spec.image) || ctx_.jobs.mark(name) != nullptr ||
-            !allowed(job, m)) {
+        if (!Fleet::has_image(m, image) || ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
             continue;
         }
-        if (job.spec.each.fits_in(fleet_.room(m))) {
-            return true;
-        }
+        bool chance = job.spec.each.fits_in(fleet_.room(m));
         for (const auto& id : ctx_.jobs.on_machine(name)) {
-            const Job* other = ctx_.jobs.find(id.uid);
-            if (other != nullptr && other->spec.kind != JobKind::service) {
-                return true;
+            if (chance) {
+                break;
             }
+            const Job* other = ctx_.jobs.find(id.uid);
+            chance = other != nullptr && other->spec.kind != JobKind::service;
+        }
+        if (chance) {
+            it->second = true;
+            break;
         }
     }
-    return false;
+    return it->second;
 }
 
 // Whether the machine is fetching another image already: two fetches share its rate, and both
 // images would be late.
-bool Scheduler::slow_fetch(const Machine& m, const JobSpec& spec) const {
-    for (const auto& image : batch_images_) {
-        if (image != spec.image) {
+bool Scheduler::slow_fetch(const Offer& offer, const JobSpec& spec, int image) const {
+    for (int other : offer.images) {
+        if (other != image) {
             return true;
         }
     }
-    if (batch_images_.count(spec.image) != 0) {
-        return false;
-    }
+    const Machine& m = *offer.machine;
     for (const auto& id : ctx_.jobs.on_machine(m.name)) {
         const Job* other = ctx_.jobs.find(id.uid);
         const Placement* p = ctx_.jobs.placement(id);
@@ -287,128 +380,171 @@
     return fetch_waits ? std::min(most, std::max(fetch, ctx_.tunables.locality_wait_s)) : most;
 }
 
-int Scheduler::claim_tasks(Machine& m, const Job& job, const Resources& room) {
-    int fits = 0;
-    Resources left = room;
-    while (fits < job.open() && job.spec.each.fits_in(left)) {
-        left -= job.spec.each;
-        ++fits;
-    }
+// Claims as many of the job's tasks as the machines take, in one write for each block.
+int Scheduler::claim_tasks(const Job& job, const std::vector<Choice>& choices) {
+    const JobSpec& s = job.spec;
+    int image = fleet_.image_number(s.image);
+    std::size_t machines_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 2;
+    int claimed = 0;
     for (int k = 0; k < job.block_count(); ++k) {
-        auto key = keys::block(job.spec.uid, k);
-        if (ctx_.busy.count(key) != 0) {
+        if (ctx_.busy.count(keys::block(s.uid, k)) != 0) {
             continue;
         }
-        int most = std::min(fits, spread_room(job, k, m.zone));
         Block next = job.block(k);
-        int n = 0;
         next.attempt++;
-        for (int t = job.block_first(k); t <= job.block_last(k) && n < most; ++t) {
-            if (next.placed.count(t) == 0 && !next.is_done(t)) {
-                next.placed[t] = {m.name, m.zone, next.attempt, ctx_.me.id};
-                ++n;
+        std::vector<std::pair<int, Offer*>> places;
+        std::map<std::string, int> spread;  // by zone, what its rule still allows
+        std::set<Offer*> used;
+        auto choice = choices.begin();
+        auto takes = [&](const Choice& c) {
+            auto zone = spread.try_emplace(c.offer->machine->zone, 0);
+            if (zone.second) {
+                zone.first->second = spread_room(job, k, c.offer->machine->zone);
+            }
+            if (zone.first->second <= 0 || !s.each.fits_in(c.offer->room)) {
+                return false;
+            }
+            --zone.first->second;
+            return true;
+        };
+        for (int t = job.block_first(k); t <= job.block_last(k); ++t) {
+            if (next.placed.count(t) != 0 || next.is_done(t)) {
+                continue;
+            }
+            // Less than what would fit, if the limit allows only that.
+            Resources all = s.each * static_cast<double>(places.size() + 1);
+            if (!quota_.within_limit(s.team, all)) {
+                break;
             }
+            while (choice != choices.end() && !takes(*choice)) {
+                ++choice;
+            }
+            if (choice == choices.end() || used.size() > machines_max) {
+                break;
+            }
+            choice->offer->room -= s.each;
+            used.insert(choice->offer);
+            places.emplace_back(t, choice->offer);
         }
-        // Less than what would fit, if the limit allows only that.
-        while (n > 0 && (!quota_.within_limit(job.spec.team, job.spec.each * n) ||
-                         !quota_.cover(job.spec.team, job.spec.each * n, batch_.txn))) {
-            next.placed.erase(std::prev(
-                std::find_if(next.placed.rbegin(), next.placed.rend(), [&](const auto& p) {
-                    return p.second.attempt == next.attempt;
-                }).base()));
-            --n;
+        while (!places.empty() &&
+               !quota_.cover(s.team, s.each * static_cast<double>(places.size()), batch_.txn)) {
+            places.back().second->room += s.each;
+            places.pop_back();
         }
-        if (n == 0) {
+        if (places.empty()) {
             continue;
         }
-        batch_images_.insert(job.spec.image);
-        add_claim(job, {{k, next}}, std::vector<std::string>(static_cast<std::size_t>(n), m.name),
-                  n);
-        return n;
+        std::vector<std::string> machines;
+        for (const auto& [t, offer] : places) {
+            next.placed[t] = {offer->machine->name, offer->machine->zone, next.attempt,
+                              ctx_.me.id};
+            machines.push_back(offer->machine->name);
+            offer->empty = false;
+            offer->images.push_back(image);
+        }
+        claimed += static_cast<int>(places.size());
+        add_claim(job, {{k, next}}, machines, static_cast<int>(places.size()));
     }
-    return 0;
+    return claimed;
 }
 
-bool Scheduler::claim_gang(Machine& m, const Job& job) {
+bool Scheduler::claim_gang(Round& round, const Job& job, Wait& w) {
     // Whole or not at all: every block of the job goes into one transaction, so that one
     // controller starts it, also on machines of others, which launch what the records say.
+    const JobSpec& s = job.spec;
     int blocks = job.block_count();
-    if (blocks + 1 > ctx_.settings.state_txn_ops || job.open() != job.spec.tasks) {
+    if (blocks + 1 > ctx_.settings.state_txn_ops || job.open() != s.tasks) {
         return false;
     }
     std::map<int, Block> next;
     std::uint64_t attempt = 0;
     for (int k = 0; k < blocks; ++k) {
-        if (ctx_.busy.count(keys::block(job.spec.uid, k)) != 0) {
+        if (ctx_.busy.count(keys::block(s.uid, k)) != 0) {
             return false;
         }
         next[k] = job.block(k);
         attempt = std::max(attempt, next[k].attempt);
     }
     ++attempt;
-    struct Bin {
-        const Machine* machine;
-        Resources room;
-        bool local;
-    };
-    std::map<std::string, std::vector<Bin>> zones;
-    for (const auto& [name, other] : fleet_.machines()) {
-        bool known = other.up();
-        bool ok = other.mine ? fleet_.usable(other)
-                             : known && ctx_.jobs.mark(name) == nullptr && !other.notice_until;
-        if (!ok || !allowed(job, other)) {
+    auto key = fmt::format("{}|{}", s.tasks, demands(s));
+    bool holding = held_since_.count(s.uid) != 0;
+    if (!holding && round.hopeless.count(key) != 0) {
+        return false;
+    }
+    if (!round.others) {
+        round.others = true;
+        gather(round, false);
+    }
+    int image = fleet_.image_number(s.image);
+    std::map<std::string, std::vector<Choice>> zones;
+    for (auto& offer : round.offers) {
+        bool kept = !offer.holder.empty() && offer.holder != s.uid && s.priority <= offer.held;
+        if (kept || !s.each.fits_in(offer.room) || !allowed(job, *offer.machine)) {
             continue;
         }
-        Resources room = fleet_.room(other);
-        if (auto r = reserved_.find(name); r != reserved_.end()) {
-            room -= r->second;
-        }
-        if (job.spec.each.fits_in(room)) {
-            zones[job.spec.together ? other.zone : ""].push_back(
-                {&other, room, fleet_.has_image(other, job.spec.image)});
-        }
+        bool local = s.image_gb <= 0 || Fleet::has_image(*offer.machine, image);
+        // Our own first, and those whose report waits for its answer.
+        double rank = (offer.mine ? 0 : 2) + (offer.machine->request ? 0 : 1);
+        zones[s.together ? offer.machine->zone : ""].push_back({&offer, local, rank});
     }
-    for (auto& [zone, bins] : zones) {
-        std::stable_sort(bins.begin(), bins.end(), [&](const Bin& a, const Bin& b) {
-            bool a_here = a.machine->name == m.name;
-            bool b_here = b.machine->name == m.name;
-            return std::tie(a_here, a.local) > std::tie(b_here, b.local);
+    std::vector<std::pair<int, Offer*>> best;
+    int best_local = -1;
+    for (auto& [zone, choices] : zones) {
+        std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
+            return std::make_tuple(!a.local, a.rank) < std::make_tuple(!b.local, b.rank);
         });
-        std::vector<std::pair<std::string, std::string>> places;
+        std::vector<std::pair<int, Offer*>> places;
         std::map<std::string, int> in_zone;
-        int half = (job.spec.tasks + 1) / 2;
-        for (auto& bin : bins) {
-            while (static_cast<int>(places.size()) < job.spec.tasks &&
-                   job.spec.each.fits_in(bin.room) &&
-                   (!job.spec.spread || in_zone[bin.machine->zone] < half)) {
-                bin.room -= job.spec.each;
-                in_zone[bin.machine->zone]++;
-                places.emplace_back(bin.machine->name, bin.machine->zone);
+        int half = (s.tasks + 1) / 2;
+        int local = 0;
+        for (const auto& c : choices) {
+            Resources room = c.offer->room;
+            while (static_cast<int>(places.size()) < s.tasks && s.each.fits_in(room) &&
+                   (!s.spread || in_zone[c.offer->machine->zone] < half)) {
+                room -= s.each;
+                in_zone[c.offer->machine->zone]++;
+                local += c.local ? 1 : 0;
+                places.emplace_back(static_cast<int>(places.size()), c.offer);
             }
         }
-        if (static_cast<int>(places.size()) < job.spec.tasks) {
-            continue;
+        bool own = zone == ctx_.settings.zone;
+        if (static_cast<int>(places.size()) == s.tasks &&
+            (local > best_local || (local == best_local && own))) {
+            best = std::move(places);
+            best_local = local;
         }
-        send_batch();  // a gang's blocks have a transaction of their own
-        Resources all = job.spec.each * job.spec.tasks;
-        if (!quota_.within_limit(job.spec.team, all) ||
-            !quota_.cover(job.spec.team, all, batch_.txn)) {
-            return false;
-        }
-        std::vector<std::string> names;
-        for (int t = 0; t < job.spec.tasks; ++t) {
-            const auto& [machine, where] = places[static_cast<std::size_t>(t)];
-            Block& b = next[job.block_of(t)];
-            b.attempt = attempt;
-            b.placed[t] = {machine, where, attempt, ctx_.me.id};
-            names.push_back(machine);
+    }
+    if (best.empty()) {
+        if (!holding) {
+            round.hopeless.insert(key);
         }
-        add_claim(job, next, names, job.spec.tasks);
-        send_batch();
-        return true;
+        return false;
     }
-    hold_for(job);
-    return false;
+    if (best_local < s.tasks && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s &&
+        local_chance(round, job)) {
+        w.skipped = true;
+        return true;  // it has room: nothing needs to be held for it
+    }
+    send_batch();  // a gang's blocks have a transaction of their own
+    Resources all = s.each * s.tasks;
+    if (!quota_.within_limit(s.team, all) || !quota_.cover(s.team, all, batch_.txn)) {
+        return true;  // no room is missing
+    }
+    std::vector<std::string> names;
+    for (const auto& [t, offer] : best) {
+        Block& b = next[job.block_of(t)];
+        b.attempt = attempt;
+        b.placed[t] = {offer->machine->name, offer->machine->zone, attempt, ctx_.me.id};
+        names.push_back(offer->machine->name);
+        offer->room -= s.each;
+        offer->empty = false;
+        offer->images.push_back(image);
+    }
+    add_claim(job, next, names, s.tasks);
+    send_batch();
+    w.wait = 0;
+    w.level = best_local == s.tasks ? 0 : 1;
+    return true;
 }
 
 void Scheduler::add_claim(const Job& job, const std::map<int, Block>& blocks,
@@ -437,7 +573,8 @@
     std::set<std::string> distinct(machines.begin(), machines.end());
     ctx_.info("claim {} tasks {} on {}", job.spec.uid, tasks, fmt::join(distinct, ","));
     // The next claim may bring a block and a quota record.
-    if (txn.writes.size() + 2 > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+    if (batch_.blocks.size() >= constants::claim_blocks ||
+        txn.writes.size() + 2 > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
         send_batch();
     }
 }
@@ -469,19 +606,19 @@
                 ctx_.busy.erase(key);
             }
             for (const auto& [name, amount] : batch.places) {
-                reserved_[name] -= amount;
+                Resources& left = reserved_[name];
+                left -= amount;
+                if (left.cpus < Resources::slack) {
+                    reserved_.erase(name);
+                }
             }
             for (const auto& name : machines) {
                 Machine* m = fleet_.find(name);
                 if (m != nullptr) {
                     m->claims--;
-                    if (fleet_.on_room && m->request && fleet_.usable(*m) && m->claims == 0) {
-                        fleet_.on_room(*m);
-                    }
+                    fleet_.settle(*m);
                 }
             }
-            fleet_.flush();
-            fleet_.settle_answers();
         };
         auto release = [this, batch] {
             for (const auto& c : batch.claims) {
@@ -508,12 +645,35 @@
     });
 }
 
-const Machine* Scheduler::candidate_for_hold(const Job& job) const {
-    // The machine of ours that will be empty soonest: none that runs a service.
-    const Machine* best = nullptr;
-    double best_work = 0;
+// The first gang in its team's order holds the machines of ours that will be empty soonest, for
+// a set time: then others have a turn, and a gang that can't be helped that way keeps nothing idle.
+void Scheduler::hold_for(Round& round, const Job& job) {
+    const JobSpec& s = job.spec;
+    if (turn(job) != 0 || !round.held_teams.insert(s.team).second) {
+        return;
+    }
+    double& since = held_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
+    double held_for = ctx_.now.steady - since;
+    if (held_for > ctx_.tunables.gang_hold_s) {
+        if (held_for > 2 * ctx_.tunables.gang_hold_s) {
+            held_since_.erase(s.uid);
+        }
+        return;
+    }
+    int held = 0;
+    for (const auto& [name, h] : holds_) {
+        held += h.uid == s.uid && h.until >= ctx_.now.steady ? 1 : 0;
+    }
+    if (held >= s.tasks) {
+        return;
+    }
+    std::vector<std::pair<double, const Machine*>> candidates;
     for (const auto& [name, m] : fleet_.machines()) {
-        if (!fleet_.usable(m) || !allowed(job, m) || holds_.count(name) != 0) {
+        auto old = holds_.find(name);
+        bool taken = old != holds_.end() && old->second.until >= ctx_.now.steady;
+        const MachineType* t = fleet_.type(m.type);
+        if (!m.mine || taken || !fleet_.usable(m) || t == nullptr || !s.each.fits_in(t->size) ||
+            !allowed(job, m)) {
             continue;
         }
         double work = 0;
@@ -521,29 +681,23 @@
         for (const auto& id : ctx_.jobs.on_machine(name)) {
             if (const Job* other = ctx_.jobs.find(id.uid)) {
                 service = service || other->spec.kind == JobKind::service;
-                work = std::max(work, other->spec.estimate_s);
+                double ran = ctx_.now.steady - fleet_.placed_at(id);
+                work = std::max(work, other->spec.estimate_s - ran);
             }
         }
-        if (!service && (best == nullptr || work < best_work)) {
-            best = &m;
-            best_work = work;
+        if (!service) {
+            candidates.emplace_back(work, &m);
         }
     }
-    return best;
-}
-
-void Scheduler::hold_for(const Job& job) {
-    int held = 0;
-    for (const auto& [name, h] : holds_) {
-        held += h.uid == job.spec.uid && h.until >= ctx_.now.steady ? 1 : 0;
-    }
-    if (held >= job.spec.tasks) {
-        return;
-    }
-    if (const Machine* m = candidate_for_hold(job)) {
-        holds_[m->name] = {job.spec.uid, ctx_.now.steady + ctx_.tunables.gang_hold_s,
-                           job.spec.priority};
-        ctx_.debug("hold {} for gang {}", m->name, job.spec.uid);
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [work, m] : candidates) {
+        if (held >= s.tasks) {
+            break;
+        }
+        ++held;
+        holds_[m->name] = {s.uid, since + ctx_.tunables.gang_hold_s, s.priority};
+        ctx_.debug("hold {} for gang {}", m->name, s.uid);
     }
 }
 
@@ -567,7 +721,7 @@
         const Job* job = ctx_.jobs.find(it->first);
         it = job == nullptr || job->open() == 0 ? waits_.erase(it) : std::next(it);
     }
-    for (auto* times : {&open_since_, &preempted_at_}) {
+    for (auto* times : {&open_since_, &preempted_at_, &held_since_}) {
         for (auto it = times->begin(); it != times->end();) {
             const Job* job = ctx_.jobs.find(it->first);
             it = job == nullptr || job->open() == 0 ? times->erase(it) : std::next(it);
@@ -611,7 +765,7 @@
                                                         double waited) const {
     Victims v;
     v.machine = &m;
-    v.local = fleet_.has_image(m, job.spec.image);
+    v.local = Fleet::has_image(m, fleet_.image_number(job.spec.image));
     std::vector<std::tuple<double, TaskId, const Job*>> candidates;
     for (const auto& id : ctx_.jobs.on_machine(m.name)) {
         const Job* other = ctx_.jobs.find(id.uid);
@@ -641,10 +795,15 @@
 }
 
 void Scheduler::preempt() {
+    int looked = 0;
     for (const Job* job : order()) {
         const JobSpec& s = job->spec;
         double since = open_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
+        double stagger = constants::preempt_pause_s * static_cast<double>(turn(*job));
         double waited = ctx_.now.steady - since;
+        if (waited < stagger) {
+            continue;  // its first member makes room, the others only if it has none to make
+        }
         if (s.priority <= Priority::normal && !below_guarantee(s.team, s.each)) {
             continue;
         }
@@ -657,6 +816,15 @@
             waited < constants::preempt_after_s || !quota_.within_limit(s.team, s.each)) {
             continue;
         }
+        if (++looked > constants::preempt_looks) {
+            break;
+        }
+        preempted_at_[s.uid] = ctx_.now.steady;
+        int image = fleet_.image_number(s.image);
+        int block = 0;
+        while (block + 1 < job->block_count() && !job->first_open(block)) {
+            ++block;
+        }
         // Room that is there already, or a machine that has it without the image.
         bool room = false;
         bool local_room = false;
@@ -671,12 +839,18 @@
             if (!ok) {
                 continue;
             }
-            bool local = fleet_.has_image(m, s.image);
+            bool local = Fleet::has_image(m, image);
+            if (spread_room(*job, block, m.zone) == 0) {
+                continue;
+            }
             if (s.each.fits_in(fleet_.room(m))) {
                 room = true;
                 local_room = local_room || local;
                 continue;
             }
+            if (!m.mine || !fleet_.usable(m)) {
+                continue;
+            }
             auto v = victims_on(m, *job, waited);
             if (v && (!best || std::make_tuple(!v->local, v->lost_s) <
                                    std::make_tuple(!best->local, best->lost_s))) {
@@ -690,13 +864,8 @@
         if (!best || local_room || (room && !fetch_hurts)) {
             continue;
         }
-        // Every controller comes to the same choice; the machine's owner carries it out.
-        preempted_at_[s.uid] = ctx_.now.steady;
         Machine& m = *best->machine;
         holds_[m.name] = {s.uid, ctx_.now.steady + constants::preempt_pause_s, s.priority};
-        if (!fleet_.usable(m)) {
-            continue;
-        }
         ctx_.info("preempt {} tasks on {} for {}", best->tasks.size(), m.name, s.uid);
         for (const auto& id : best->tasks) {
             if (const Placement* p = ctx_.jobs.placement(id)) {
@@ -707,7 +876,13 @@
 }
 
 void Scheduler::tick() {
-    if (ctx_.member && members_.in_contact() && ctx_.now.steady >= next_preempt_) {
+    if (!ctx_.member || !members_.in_contact()) {
+        return;
+    }
+    if (ctx_.now.steady - last_round_ >= constants::round_every_s) {
+        round();
+    }
+    if (ctx_.now.steady >= next_preempt_) {
         next_preempt_ = ctx_.now.steady + constants::preempt_every_s;
         preempt();
     }
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -1,6 +1,7 @@
-// Scheduler: the paper's Algorithm 3 with one locality level. On each report with free room it
-// walks the jobs in fair team order; a job without its image on the machine lets it pass for at
-// most W seconds. Gangs hold room and start whole.
+// Scheduler: the paper's Algorithm 3 with one locality level. The machines that reported free room
+// since the last round are served together: the jobs are walked in fair team order, and a job
+// without its image on a machine lets it pass for at most W seconds. Gangs hold room and start
+// whole.
 #pragma once
 
 #include <functional>
@@ -20,8 +21,6 @@
     Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota)
         : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota) {}
 
-    // One scheduling opportunity: a machine of ours with free room and an open answer.
-    void opportunity(Machine& m);
     void epoch_changed();
     void records_changed();
     void tick();
@@ -30,6 +29,8 @@
     std::vector<const Job*> order() const;
     // Whether a task of the job may ever be on that machine, and in that zone just now.
     bool allowed(const Job& job, const Machine& m) const;
+    // What a task needs of its machine, as one word: equal for jobs that fit the same machines.
+    static std::string demands(const JobSpec& spec);
     // How many tasks the spread rule lets the job add in a zone, in one block.
     static int spread_room(const Job& job, int block, const std::string& zone);
 
@@ -68,16 +69,43 @@
         std::vector<Claim> claims;
     };
 
-    bool walk_one(Machine& m, const Job& job, Resources& room);
-    int claim_tasks(Machine& m, const Job& job, const Resources& room);
-    bool local_chance(const Job& job) const;
-    bool slow_fetch(const Machine& m, const JobSpec& spec) const;
+    // A machine with room in this round.
+    struct Offer {
+        Machine* machine = nullptr;
+        Resources room;
+        bool mine = false;
+        bool empty = false;
+        std::string holder;  // job that its room is held for
+        Priority held = Priority::normal;
+        std::vector<int> images;  // claimed in this round
+    };
+    struct Choice {
+        Offer* offer = nullptr;
+        bool local = false;
+        double rank = 0;
+    };
+    // Answers that hold for every job of the same demands, kept for one round.
+    struct Round {
+        std::vector<Offer> offers;
+        bool others = false;               // offers of other members' machines are in it
+        std::set<std::string> hopeless;    // demands that fit no offer
+        std::map<std::string, bool> memo;  // by question and demands
+        std::set<std::string> held_teams;  // whose first waiting gang was seen
+    };
+
+    void round();
+    void gather(Round& round, bool mine) const;
+    void walk(Round& round, const Job& job);
+    int claim_tasks(const Job& job, const std::vector<Choice>& choices);
+    bool claim_gang(Round& round, const Job& job, Wait& w);
+    std::size_t turn(const Job& job) const;
+    bool local_chance(Round& round, const Job& job) const;
+    bool slow_fetch(const Offer& offer, const JobSpec& spec, int image) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
-    bool claim_gang(Machine& m, const Job& job);
-    double rank(const Machine& m, const Job& job) const;
-    bool cheap_coming(const Machine& m, const Job& job) const;
-    bool better_elsewhere(const Machine& m, const Job& job) const;
+    double rank(const Offer& offer, const Job& job) const;
+    bool cheap_coming(Round& round, const Offer& offer, const Job& job) const;
+    bool better_elsewhere(Round& round, const Offer& offer, const Job& job) const;
     void add_claim(const Job& job, const std::map<int, Block>& blocks,
                    const std::vector<std::string>& machines, int tasks);
     // Stops lower or borrowed work where a job may demand that and nothing else helps it.
@@ -85,8 +113,7 @@
     bool may_preempt(const Job& job, const Job& victim, double waited) const;
     std::optional<Victims> victims_on(Machine& m, const Job& job, double waited) const;
     bool below_guarantee(const std::string& team, const Resources& more) const;
-    void hold_for(const Job& job);
-    const Machine* candidate_for_hold(const Job& job) const;
+    void hold_for(Round& round, const Job& job);
 
     Context& ctx_;
     Membership& members_;
@@ -97,10 +124,10 @@
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
     Batch batch_;
-    std::set<std::string> batch_images_;          // claimed on this machine in this opportunity
     std::map<std::string, double> open_since_;    // jobs with tasks to place
     std::map<std::string, double> preempted_at_;  // by job that room was made for
-    double last_heartbeat_ = 0;
+    std::map<std::string, double> held_since_;    // gangs that machines are held for
+    double last_round_ = 0;
     double next_preempt_ = 0;
 };
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -584,6 +584,23 @@
     }
 }
 
+// Gangs complete together: when one task is done, all are.
+void World::complete_gang(const std::string& uid, std::uint64_t attempt) {
+    for (int t = 0; t < specs_[uid].tasks; ++t) {
+        done_tasks_[uid].insert(t);
+    }
+    for (auto& [name, m] : machines) {
+        for (auto& [id, attempts] : m.tasks) {
+            auto a = attempts.find(attempt);
+            if (id.uid == uid && a != attempts.end() && present(a->second)) {
+                a->second.state = TaskState::exited;
+                a->second.why = ExitReason::done;
+                m.next_report = std::min(m.next_report, now + 0.5);
+            }
+        }
+    }
+}
+
 void World::step_worker(FakeMachine& m) {
     if (m.deleted || m.hangs || now < m.up_at) {
         return;
@@ -633,6 +650,9 @@
                 t.state = TaskState::exited;
                 t.why = ExitReason::done;
                 done_tasks_[id.uid].insert(id.index);
+                if (s.kind == JobKind::gang) {
+                    complete_gang(id.uid, attempt);
+                }
             }
             change = change || before != t.state;
         }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -146,6 +146,7 @@
     CloudReply cloud(const CloudCall& call);
     // workers
     void step_worker(FakeMachine& m);
+    void complete_gang(const std::string& uid, std::uint64_t attempt);
     void send_report(FakeMachine& m);
     void got_reply(const std::string& machine, std::uint64_t session, double sent,
                    std::size_t target, const WorkerReply& reply);
