--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -196,6 +196,8 @@
 inline constexpr double boot_dead_factor = 4.5;
 // s a listed running machine may stay unreported before it is fenced
 inline constexpr double unreported_s = 25.0;
+// s between looks for marks to remove
+inline constexpr double retire_every_s = 2.0;
 // s a gone machine's mark stays, so that late reports of it are recognised
 inline constexpr double gone_mark_s = 120.0;
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -194,6 +194,7 @@
     m.probe_failures = 0;
     m.request = request;
     m.considered = false;
+    m.held = false;
     asking_.insert(m.name);
     if (r.token == ctx_.token && !m.adopted) {
         m.adopted = true;
@@ -331,13 +332,9 @@
 }
 
 void Fleet::observe(Machine& m, bool from_report) {
-    auto placed = ctx_.jobs.on_machine(m.name);
-    for (const auto& id : placed) {
-        const Job* job = ctx_.jobs.find(id.uid);
-        const Placement* p = ctx_.jobs.placement(id);
-        if (job == nullptr || p == nullptr) {
-            continue;
-        }
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        const Job* job = on.job;
+        const Placement* p = on.place;
         Attempt attempt{id, p->attempt};
         auto t = m.tasks.find(attempt);
         if (t != m.tasks.end()) {
@@ -595,10 +592,9 @@
                     {Command::Kind::stop, attempt.first, attempt.second, s->second.grace_s});
             }
         }
-        for (const auto& id : ctx_.jobs.on_machine(m.name)) {
-            const Job* job = ctx_.jobs.find(id.uid);
-            const Placement* p = ctx_.jobs.placement(id);
-            if (job == nullptr || p == nullptr || !wants_start(m, *job)) {
+        for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+            const Placement* p = on.place;
+            if (!wants_start(m, *on.job)) {
                 continue;
             }
             Attempt attempt{id, p->attempt};
@@ -620,7 +616,8 @@
 void Fleet::settle_answers() {
     auto asking = asking_;
     for (const auto& name : asking) {
-        if (Machine* m = find(name)) {
+        Machine* m = find(name);
+        if (m != nullptr && !(m->held && ctx_.now.steady < m->answer_by)) {
             settle(*m);
         }
     }
@@ -637,15 +634,10 @@
     // Something to say: say it now.
     bool start_due = false;
     bool news = false;  // whether the worker may soon have something to report
-    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
-        const Job* job = ctx_.jobs.find(id.uid);
-        const Placement* p = ctx_.jobs.placement(id);
-        if (job == nullptr || p == nullptr) {
-            continue;
-        }
-        auto t = m.tasks.find({id, p->attempt});
-        start_due = start_due || (t == m.tasks.end() && wants_start(m, *job));
-        news = news || job->cancelled || job->spec.kind != JobKind::service ||
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        auto t = m.tasks.find({id, on.place->attempt});
+        start_due = start_due || (t == m.tasks.end() && wants_start(m, *on.job));
+        news = news || on.job->cancelled || on.job->spec.kind != JobKind::service ||
                t == m.tasks.end() || t->second.state != TaskState::running;
     }
     bool offer = !start_due && usable(m);
@@ -657,6 +649,7 @@
         // Nothing ends there by itself, so the worker has nothing to report: its answer is kept
         // open for a while, and a job that comes meanwhile starts without waiting for a report.
         m.answer_by = std::max(m.answer_by, m.last_report + constants::idle_hold_s);
+        m.held = true;
         return;
     }
     answer(m);
@@ -830,21 +823,51 @@
         return;
     }
     m.marking = true;
-    Mark mark;
-    mark.why = why;
-    mark.fence = fence;
-    Txn txn;
-    txn.conditions = {ctx_.epoch_condition(),
-                      {keys::mark(m.name), old == nullptr ? 0 : old->revision}};
-    txn.writes = {{keys::mark(m.name), encode(mark)}};
+    to_mark_[{why, fence}].insert(m.name);
     ctx_.info("machine {}: to be returned ({})", m.name, why);
-    ctx_.txn(txn, [this, name = m.name](const StateReply& r) {
-        ctx_.when_settled(r, [this, name] {
-            if (Machine* m = find(name)) {
-                m->marking = false;
-            }
+}
+
+void Fleet::write_marks() {
+    auto waiting = std::exchange(to_mark_, {});
+    Txn txn;
+    std::set<std::string> names;
+    auto send = [&] {
+        if (txn.writes.empty()) {
+            return;
+        }
+        txn.conditions.push_back(ctx_.epoch_condition());
+        ctx_.txn(std::exchange(txn, {}), [this, names](const StateReply& r) {
+            ctx_.when_settled(r, [this, names] {
+                for (const auto& name : names) {
+                    if (Machine* m = find(name)) {
+                        m->marking = false;
+                    }
+                }
+            });
         });
-    });
+        names.clear();
+    };
+    for (const auto& [group, machines] : waiting) {
+        Marks marks;
+        marks.why = group.first;
+        marks.fence = group.second;
+        auto next = machines.begin();
+        while (next != machines.end()) {
+            marks.machines.clear();
+            while (next != machines.end() && marks.machines.size() < constants::release_max) {
+                marks.machines.insert(*next);
+                names.insert(*next);
+                ++next;
+            }
+            auto key = keys::marks(ctx_.me.id, ++marks_made_);
+            txn.conditions.push_back({key, 0});
+            txn.writes.push_back({key, encode(marks)});
+            if (txn.writes.size() >= static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+                send();
+            }
+        }
+    }
+    send();
 }
 
 void Fleet::probe(Machine& m) {
@@ -994,14 +1017,10 @@
 
 // The cloud's answer to a release is the proof that everything on the machine has ended.
 void Fleet::conclude_gone() {
-    for (const auto& [key, mark] : ctx_.jobs.marks()) {
-        if (!mark.gone) {
-            continue;
-        }
-        std::string name = keys::marked_machine(key);
-        for (const auto& id : ctx_.jobs.on_machine(name)) {
-            if (const Placement* p = ctx_.jobs.placement(id)) {
-                conclude(id, {p->attempt, false, "machine gone", name});
+    for (const auto& [key, marks] : ctx_.jobs.marks()) {
+        for (const auto& name : marks.gone) {
+            for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
+                conclude(id, {on.place->attempt, false, "machine gone", name});
             }
         }
     }
@@ -1009,6 +1028,7 @@
 
 void Fleet::tick() {
     raise_tokens();
+    write_marks();
     if (ctx_.now.steady >= next_sweep_) {
         next_sweep_ = ctx_.now.steady + constants::sweep_every_s;
         sweep();
@@ -1028,6 +1048,9 @@
         std::erase_if(*times, [&](const auto& e) { return e.second.first < old; });
     }
     double silence = silence_s();
+    if (members_.leading()) {
+        conclude_gone();  // also of claims that came after the machine's end
+    }
     int mine = 0;
     int silent = 0;
     for (auto& [name, m] : machines_) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -47,6 +47,7 @@
     std::map<Attempt, Stop> stops;
     int errors = 0;
     double no_claims_until = -1e9;
+    bool held = false;  // its answer is kept open until answer_by, unless something changes
     bool probing = false;
     int probe_failures = 0;
     bool marking = false;
@@ -109,6 +110,7 @@
     // Asks a task to stop, directly and with every response until it is gone.
     void stop(Machine& m, const Attempt& task, double grace_s);
     void stop_anywhere(const std::string& machine, const Attempt& task, double grace_s);
+    // Marks it for return; the marks of one look are written together.
     void mark(Machine& m, const std::string& why, bool fence);
     // A job whose tasks fail is left alone until then.
     double job_pause_until(const std::string& uid) const;
@@ -162,6 +164,7 @@
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void sweep();
     void raise_tokens();
+    void write_marks();
 
     Context& ctx_;
     Membership& members_;
@@ -176,6 +179,8 @@
     std::map<std::string, std::pair<double, int>> whole_;
     std::map<std::string, std::pair<double, int>> cheap_;
     std::deque<std::string> to_raise_;  // taken over, their token still to be raised
+    std::map<std::pair<std::string, bool>, std::set<std::string>> to_mark_;  // by why and fence
+    std::uint64_t marks_made_ = 0;
     double next_sweep_ = 0;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -65,7 +65,7 @@
         TaskId id{job.spec.uid, task};
         OnMachine& on = by_machine_[p.machine];
         if (sign > 0) {
-            on.tasks.insert(id);
+            on.tasks[id] = {&job, &p};
             on.used += job.spec.each;
         } else {
             on.tasks.erase(id);
@@ -127,7 +127,7 @@
             placed += static_cast<int>(b.placed.size());
             for (const auto& [task, p] : b.placed) {
                 if (job.revision != 0) {
-                    by_machine[p.machine].tasks.insert({uid, task});
+                    by_machine[p.machine].tasks[{uid, task}] = {&job, &p};
                     by_machine[p.machine].used += job.spec.each;
                 }
             }
@@ -151,7 +151,12 @@
     return std::all_of(by_machine.begin(), by_machine.end(), [&](const auto& m) {
         const OnMachine& on = by_machine_.at(m.first);
         Resources gap = on.used - m.second.used;
-        return on.tasks == m.second.tasks && std::abs(gap.cpus) < Resources::slack &&
+        bool same = std::equal(on.tasks.begin(), on.tasks.end(), m.second.tasks.begin(),
+                               m.second.tasks.end(), [](const auto& a, const auto& b) {
+                                   return a.first == b.first && a.second.job == b.second.job &&
+                                          a.second.place == b.second.place;
+                               });
+        return same && std::abs(gap.cpus) < Resources::slack &&
                std::abs(gap.gpus) < Resources::slack && std::abs(gap.memory_gb) < Resources::slack;
     });
 }
@@ -213,9 +218,12 @@
         s.revision = revision;
         slices_[key] = std::move(s);
     } else if (has_prefix(key, "c/x/")) {
-        Mark m = decode_mark(value);
+        Marks m = decode_marks(value);
         m.revision = revision;
+        auto changed = std::exchange(marks_[key].machines, {});
+        changed.insert(m.machines.begin(), m.machines.end());
         marks_[key] = std::move(m);
+        remark(changed);
     }
 }
 
@@ -258,7 +266,12 @@
     } else if (has_prefix(key, "c/q/")) {
         slices_.erase(key);
     } else if (has_prefix(key, "c/x/")) {
-        marks_.erase(key);
+        auto it = marks_.find(key);
+        if (it != marks_.end()) {
+            auto changed = std::move(it->second.machines);
+            marks_.erase(it);
+            remark(changed);
+        }
     }
 }
 
@@ -268,12 +281,28 @@
 }
 
 const Mark* Jobs::mark(const std::string& machine) const {
-    auto it = marks_.find(keys::mark(machine));
-    return it == marks_.end() ? nullptr : &it->second;
+    auto it = marked_.find(machine);
+    return it == marked_.end() ? nullptr : &it->second;
+}
+
+void Jobs::remark(const std::set<std::string>& machines) {
+    for (const auto& name : machines) {
+        marked_.erase(name);
+        touched_machines_.insert(name);
+    }
+    for (const auto& [key, m] : marks_) {
+        for (const auto& name : machines) {
+            if (m.machines.count(name) != 0) {
+                Mark& mark = marked_[name];
+                mark.fence = mark.fence || m.fence;
+                mark.gone = mark.gone || m.gone.count(name) != 0;
+            }
+        }
+    }
 }
 
-const std::set<TaskId>& Jobs::on_machine(const std::string& machine) const {
-    static const std::set<TaskId> none;
+const std::map<TaskId, Jobs::Placed>& Jobs::on_machine(const std::string& machine) const {
+    static const std::map<TaskId, Placed> none;
     auto it = by_machine_.find(machine);
     return it == by_machine_.end() ? none : it->second.tasks;
 }
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -65,12 +65,17 @@
 
     const std::optional<Epoch>& epoch() const { return epoch_; }
     const std::map<std::string, Member>& member_keys() const { return member_keys_; }
-    const std::map<std::string, Job>& jobs() const { return jobs_; }
+    const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
     const Job* find(const std::string& uid) const;
-    const std::map<std::string, Mark>& marks() const { return marks_; }
+    const std::map<std::string, Marks>& marks() const { return marks_; }  // by key
     const Mark* mark(const std::string& machine) const;
     const std::map<std::string, Slices>& slices() const { return slices_; }  // by key
-    const std::set<TaskId>& on_machine(const std::string& machine) const;
+    // A task with its place, as long as the records stay as they are.
+    struct Placed {
+        const Job* job;
+        const Placement* place;
+    };
+    const std::map<TaskId, Placed>& on_machine(const std::string& machine) const;
     // Indexes over jobs(), kept by the change stream: jobs with tasks to place, cancelled ones,
     // and those that are over or whose job record is gone.
     const std::unordered_set<const Job*>& open() const { return open_; }
@@ -92,9 +97,10 @@
 
   private:
     struct OnMachine {
-        std::set<TaskId> tasks;
+        std::map<TaskId, Placed> tasks;
         Resources used;
     };
+    void remark(const std::set<std::string>& machines);
     void classify(const std::string& uid, Job& job);
     void erase(const std::string& uid);
 
@@ -107,8 +113,9 @@
     std::unordered_map<std::string, Revision> revisions_;
     std::optional<Epoch> epoch_;
     std::map<std::string, Member> member_keys_;
-    std::map<std::string, Job> jobs_;
-    std::map<std::string, Mark> marks_;
+    std::unordered_map<std::string, Job> jobs_;
+    std::map<std::string, Marks> marks_;
+    std::unordered_map<std::string, Mark> marked_;  // by machine, over all of its records
     std::map<std::string, Slices> slices_;
     std::unordered_map<std::string, OnMachine> by_machine_;
     std::unordered_set<const Job*> open_;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -92,11 +92,13 @@
     }
     CloudCall call;
     call.kind = CloudCall::Kind::release;
-    for (const auto& [key, mark] : ctx_.jobs.marks()) {
-        std::string name = keys::marked_machine(key);
-        if (!mark.gone && (mark.fence || ctx_.jobs.on_machine(name).empty()) &&
-            call.machines.size() < constants::release_max) {
-            call.machines.push_back(name);
+    for (const auto& [key, marks] : ctx_.jobs.marks()) {
+        for (const auto& name : marks.machines) {
+            const Mark* mark = ctx_.jobs.mark(name);
+            if (!mark->gone && (mark->fence || ctx_.jobs.on_machine(name).empty()) &&
+                call.machines.size() < constants::release_max) {
+                call.machines.push_back(name);
+            }
         }
     }
     if (call.machines.empty()) {
@@ -104,59 +106,62 @@
     }
     releasing_ = true;
     ctx_.info("release {}", fmt::join(call.machines, ","));
-    auto names = call.machines;
+    std::set<std::string> names(call.machines.begin(), call.machines.end());
     ctx_.cloud(call, [this, names](const CloudReply& r) {
-        releasing_ = false;
         if (r.status != CloudReply::Status::ok) {
+            releasing_ = false;
             next_release_ = ctx_.now.steady + 1;
             ctx_.debug("release not confirmed, repeating");
             return;
         }
-        // Confirmed: written down, so that every member may take the places as empty.
-        std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
-        for (std::size_t i = 0; i < names.size(); i += most) {
-            Txn txn;
-            txn.conditions.push_back(ctx_.epoch_condition());
-            for (std::size_t k = i; k < names.size() && k < i + most; ++k) {
-                const Mark* mark = ctx_.jobs.mark(names[k]);
-                if (mark == nullptr || mark->gone) {
-                    continue;
-                }
-                Mark gone = *mark;
-                gone.gone = true;
-                txn.conditions.push_back({keys::mark(names[k]), mark->revision});
-                txn.writes.push_back({keys::mark(names[k]), encode(gone)});
-            }
-            if (!txn.writes.empty()) {
-                releasing_ = true;
-                ctx_.txn(txn, [this](const StateReply& s) {
-                    // Unless it is written, the machines are released again, which does no harm.
-                    ctx_.when_settled(s, [this] { releasing_ = false; });
-                });
+        write_gone(names);
+    });
+}
+
+// Confirmed by the cloud: written down, so that every member may take the places as empty.
+void Provisioner::write_gone(const std::set<std::string>& names) {
+    Txn txn;
+    txn.conditions.push_back(ctx_.epoch_condition());
+    for (const auto& [key, old] : ctx_.jobs.marks()) {
+        Marks marks = old;
+        for (const auto& name : names) {
+            if (marks.machines.count(name) != 0) {
+                marks.gone.insert(name);
             }
         }
-    });
+        if (marks.gone.size() != old.gone.size() &&
+            txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            txn.conditions.push_back({key, old.revision});
+            txn.writes.push_back({key, encode(marks)});
+        }
+    }
+    // Unless it is written, the machines are released again, which does no harm.
+    ctx_.txn(txn,
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { releasing_ = false; }); });
 }
 
 void Provisioner::retire_marks() {
-    if (retiring_) {
+    if (retiring_ || ctx_.now.steady < next_retire_) {
         return;
     }
+    next_retire_ = ctx_.now.steady + constants::retire_every_s;
+    std::erase_if(gone_since_, [&](const auto& g) { return ctx_.jobs.marks().count(g.first) == 0; });
     Txn txn;
     txn.conditions.push_back(ctx_.epoch_condition());
-    for (const auto& [key, mark] : ctx_.jobs.marks()) {
-        std::string name = keys::marked_machine(key);
-        if (!mark.gone) {
-            gone_since_.erase(name);
+    for (const auto& [key, marks] : ctx_.jobs.marks()) {
+        if (marks.gone.size() < marks.machines.size()) {
             continue;
         }
-        double since = gone_since_.try_emplace(name, ctx_.now.steady).first->second;
-        Machine* m = fleet_.find(name);
-        bool listed = m != nullptr && ctx_.now.steady - m->listed_at < constants::gone_mark_s / 2;
-        if (ctx_.now.steady - since > constants::gone_mark_s && !listed &&
-            ctx_.jobs.on_machine(name).empty() &&
-            txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
-            txn.conditions.push_back({key, mark.revision});
+        double since = gone_since_.try_emplace(key, ctx_.now.steady).first->second;
+        bool over = ctx_.now.steady - since > constants::gone_mark_s;
+        for (const auto& name : marks.machines) {
+            Machine* m = fleet_.find(name);
+            bool listed =
+                m != nullptr && ctx_.now.steady - m->listed_at < constants::gone_mark_s / 2;
+            over = over && !listed && ctx_.jobs.on_machine(name).empty();
+        }
+        if (over && txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            txn.conditions.push_back({key, marks.revision});
             txn.writes.push_back({key, std::nullopt});
         }
     }
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -44,6 +44,7 @@
     void look_at_types();
     void list(const std::string& after);
     void release();
+    void write_gone(const std::set<std::string>& names);
     void retire_marks();
     void rent();
     void send(Rental& rental);
@@ -72,10 +73,11 @@
     bool releasing_ = false;
     double next_release_ = 0;
     bool retiring_ = false;
+    double next_retire_ = 0;
     std::uint64_t rentals_made_ = 0;
     std::vector<Rental> rentals_;
     std::map<Kind, double> no_capacity_until_;
-    std::map<std::string, double> gone_since_;
+    std::map<std::string, double> gone_since_;  // by key of marks
 };
 
 }  // namespace cranemoor::core
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -56,11 +56,8 @@
 std::string quota(const std::string& team) {
     return "c/q/" + safe(team);
 }
-std::string mark(const std::string& machine) {
-    return "c/x/" + safe(machine);
-}
-std::string marked_machine(const std::string& key) {
-    return key.substr(mark("").size());
+std::string marks(std::uint64_t member, std::uint64_t number) {
+    return fmt::format("c/x/{}-{}", member, number);
 }
 std::string finished(const std::string& uid) {
     return "f/" + safe(uid);
@@ -208,15 +205,16 @@
     return {v.at("state").get<std::string>() == "cancelled", v.at("tasks").get<int>()};
 }
 
-Json encode(const Mark& m) {
-    return {{"why", m.why}, {"fence", m.fence}, {"gone", m.gone}};
+Json encode(const Marks& m) {
+    return {{"why", m.why}, {"fence", m.fence}, {"machines", m.machines}, {"gone", m.gone}};
 }
 
-Mark decode_mark(const Json& v) {
-    Mark m;
+Marks decode_marks(const Json& v) {
+    Marks m;
     m.why = v.at("why").get<std::string>();
     m.fence = v.at("fence").get<bool>();
-    m.gone = v.at("gone").get<bool>();
+    m.machines = v.at("machines").get<std::set<std::string>>();
+    m.gone = v.at("gone").get<std::set<std::string>>();
     return m;
 }
 
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,7 @@
 std::string job(const std::string& uid);
 std::string block(const std::string& uid, int index);
 std::string quota(const std::string& team);
-std::string mark(const std::string& machine);
-std::string marked_machine(const std::string& key);  // the other way round
+std::string marks(std::uint64_t member, std::uint64_t number);
 std::string finished(const std::string& uid);
 }  // namespace keys
 
@@ -66,14 +66,22 @@
     int tasks = 0;
 };
 
-// Set on a machine before it is returned: nothing new is claimed on it from then on.
+// Set on a machine before it is returned: nothing new is started on it from then on.
 struct Mark {
-    Revision revision = 0;
-    std::string why;
     bool fence = false;  // release it whatever still runs there
     bool gone = false;   // the cloud has confirmed the release
 };
 
+// Machines marked together: a wave takes hundreds, and one record for each would cost the write
+// limit of half a minute.
+struct Marks {
+    Revision revision = 0;
+    std::string why;
+    bool fence = false;
+    std::set<std::string> machines;
+    std::set<std::string> gone;
+};
+
 // A team's limit as held by members, by member id.
 struct Slices {
     Revision revision = 0;
@@ -84,7 +92,7 @@
 Json encode(const Epoch& epoch);
 Json encode(const Block& block);
 Json encode(const Finished& finished);
-Json encode(const Mark& mark);
+Json encode(const Marks& marks);
 Json encode(const Slices& slices);
 Json encode_member(const Member& member);
 // cancelled_wall: when it was cancelled, 0 if it was not
@@ -93,7 +101,7 @@
 Epoch decode_epoch(const Json& value);
 Block decode_block(const Json& value);
 Finished decode_finished(const Json& value);
-Mark decode_mark(const Json& value);
+Marks decode_marks(const Json& value);
 Slices decode_slices(const Json& value);
 Member decode_member(const Json& value);
 JobSpec decode_job_spec(const Json& value);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -334,12 +334,11 @@
             continue;
         }
         bool chance = job.spec.each.fits_in(fleet_.room(m));
-        for (const auto& id : ctx_.jobs.on_machine(name)) {
+        for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
             if (chance) {
                 break;
             }
-            const Job* other = ctx_.jobs.find(id.uid);
-            chance = other != nullptr && other->spec.kind != JobKind::service;
+            chance = on.job->spec.kind != JobKind::service;
         }
         if (chance) {
             it->second = true;
@@ -358,13 +357,11 @@
         }
     }
     const Machine& m = *offer.machine;
-    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
-        const Job* other = ctx_.jobs.find(id.uid);
-        const Placement* p = ctx_.jobs.placement(id);
-        if (other == nullptr || p == nullptr || other->spec.image == spec.image) {
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        if (on.job->spec.image == spec.image) {
             continue;
         }
-        auto t = m.tasks.find({id, p->attempt});
+        auto t = m.tasks.find({id, on.place->attempt});
         if (t == m.tasks.end() || t->second.state == TaskState::fetching) {
             return true;
         }
@@ -397,6 +394,12 @@
         std::set<Offer*> used;
         auto choice = choices.begin();
         auto takes = [&](const Choice& c) {
+            // One claim may see machines of several zones: a job that must stay together has
+            // settled on one with its first task, also with the first of this very claim.
+            if (s.together && !places.empty() &&
+                places.front().second->machine->zone != c.offer->machine->zone) {
+                return false;
+            }
             auto zone = spread.try_emplace(c.offer->machine->zone, 0);
             if (zone.second) {
                 zone.first->second = spread_room(job, k, c.offer->machine->zone);
@@ -585,16 +588,13 @@
         return;
     }
     batch.txn.conditions.push_back(ctx_.epoch_condition());
-    // Whoever returns a machine writes its mark first: a claim that comes later fails here.
+    // A machine that is marked meanwhile starts nothing any more: every copy that holds a claim
+    // made after the mark holds the mark as well, and the claim is taken back.
     std::set<std::string> machines;
     for (const auto& [name, amount] : batch.places) {
         machines.insert(name);
     }
-    std::size_t most = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
     for (const auto& name : machines) {
-        if (batch.txn.conditions.size() < most) {
-            batch.txn.conditions.push_back({keys::mark(name), 0});
-        }
         if (Machine* m = fleet_.find(name)) {
             m->claims++;
         }
@@ -678,12 +678,10 @@
         }
         double work = 0;
         bool service = false;
-        for (const auto& id : ctx_.jobs.on_machine(name)) {
-            if (const Job* other = ctx_.jobs.find(id.uid)) {
-                service = service || other->spec.kind == JobKind::service;
-                double ran = ctx_.now.steady - fleet_.placed_at(id);
-                work = std::max(work, other->spec.estimate_s - ran);
-            }
+        for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
+            service = service || on.job->spec.kind == JobKind::service;
+            double ran = ctx_.now.steady - fleet_.placed_at(id);
+            work = std::max(work, on.job->spec.estimate_s - ran);
         }
         if (!service) {
             candidates.emplace_back(work, &m);
@@ -767,9 +765,9 @@
     v.machine = &m;
     v.local = Fleet::has_image(m, fleet_.image_number(job.spec.image));
     std::vector<std::tuple<double, TaskId, const Job*>> candidates;
-    for (const auto& id : ctx_.jobs.on_machine(m.name)) {
-        const Job* other = ctx_.jobs.find(id.uid);
-        if (other != nullptr && !other->cancelled && may_preempt(job, *other, waited)) {
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        const Job* other = on.job;
+        if (!other->cancelled && may_preempt(job, *other, waited)) {
             double ran = ctx_.now.steady - fleet_.placed_at(id);
             // What has a checkpoint loses little, however long it ran.
             double lost =
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -500,7 +500,10 @@
     w.add_machine("vm-500000", "a");
     ASSERT_TRUE(w.until([&] { return w.node(0).fleet().machines()["vm-500000"].adopted; }, 20));
     w.capacity = 0;
-    w.store("c/x/vm-500000", {{"why", "idle"}, {"fence", false}, {"gone", false}});
+    w.store("c/x/1-1", {{"why", "idle"},
+                        {"fence", false},
+                        {"machines", {"vm-500000"}},
+                        {"gone", Json::array()}});
     w.submit_and_wait(0, w.job(1));
     EXPECT_TRUE(w.until([&] { return w.machines["vm-500000"].deleted; }, 10));
     EXPECT_EQ(w.running("req-000001"), 0);
