--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -44,6 +44,7 @@
     void look_at_types();
     void list(const std::string& after);
     void release();
+    void write_gone(const std::set<std::string>& names);
     void retire_marks();
     void rent();
     void send(Rental& rental);
@@ -55,7 +56,8 @@
     // The zone to rent in: allowed, with capacity as far as known, and fewest machines.
     std::optional<std::string> pick_zone(const std::string& type, bool spot,
                                          const std::optional<std::string>& only,
-                                         std::map<std::string, int>& load) const;
+                                         std::map<std::string, int>& load,
+                                         const std::set<std::string>& barred = {}) const;
     const MachineType* cheapest(const JobSpec& spec) const;
 
     Context& ctx_;
@@ -71,10 +73,11 @@
     bool releasing_ = false;
     double next_release_ = 0;
     bool retiring_ = false;
+    double next_retire_ = 0;
     std::uint64_t rentals_made_ = 0;
     std::vector<Rental> rentals_;
     std::map<Kind, double> no_capacity_until_;
-    std::map<std::string, double> gone_since_;
+    std::map<std::string, double> gone_since_;  // by key of marks
 };
 
 }  // namespace cranemoor::core
