--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -81,6 +81,9 @@
 inline constexpr double home_stagger_s = 0.75;
 // blocks claimed in one transaction: if one was changed by others, the claims on all are lost
 inline constexpr std::size_t claim_blocks = 4;
+// blocks whose claims are on their way at the most: more would only wait for the write limit, and
+// be too old when their turn comes; meanwhile room gathers, and the next claims cover more of it
+inline constexpr std::size_t claim_blocks_open = 8;
 // parts of a team's limit that a member's slice grows by, so that few claims need the record
 inline constexpr double slice_grain = 1.0 / 16;
 // s a job lets a machine pass that is busy fetching another image; most machines come up within
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -109,8 +109,11 @@
 }
 
 bool Fleet::usable(const Machine& m) const {
-    return m.mine && m.adopted && !m.notice_until && ctx_.now.steady >= m.no_claims_until &&
-           !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
+    // A machine that is gone stays known for a moment longer than its mark; a silent one may be
+    // gone: neither must be given work.
+    return m.mine && m.adopted && !m.gone && !m.notice_until &&
+           ctx_.now.steady >= m.no_claims_until &&
+           ctx_.now.steady - m.last_report <= silence_s() && !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
 }
 
 // --- reports ------------------------------------------------------------------------------
@@ -1068,8 +1071,14 @@
         if (mk != nullptr && mk->gone) {
             m.gone = true;
         } else if (m.gone && mk == nullptr && !m.request) {
-            it = machines_.erase(it);  // its mark was retired: nothing is left of it
-            continue;
+            if (ctx_.jobs.on_machine(m.name).empty()) {
+                it = machines_.erase(it);  // its mark was retired: nothing is left of it
+                continue;
+            }
+            // A claim came as late as that: its end must be proved once more.
+            m.gone = false;
+            m.reported = m.adopted = false;
+            m.address.clear();
         }
         bool forgettable = ctx_.jobs.on_machine(m.name).empty() && mk == nullptr && !m.request &&
                            t - heard > constants::gone_mark_s &&
@@ -1098,6 +1107,9 @@
         }
         if (m.listed_state == ListedState::failed) {
             mark(m, "failed", true);
+        } else if (placed && m.address.empty() && t - heard > constants::unreported_s) {
+            // Placed by a claim on a machine that nobody lists any more: it can't be probed.
+            mark(m, "unknown", true);
         } else if (m.reported || placed) {
             double quiet = t - heard;
             double limit = silence;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -136,8 +136,12 @@
         }
     }
     // Unless it is written, the machines are released again, which does no harm.
-    ctx_.txn(txn,
-             [this](const StateReply& r) { ctx_.when_settled(r, [this] { releasing_ = false; }); });
+    ctx_.txn(txn, [this](const StateReply& r) {
+        if (r.status != StateReply::Status::ok) {
+            next_release_ = ctx_.now.steady + constants::retry_state_s;
+        }
+        ctx_.when_settled(r, [this] { releasing_ = false; });
+    });
 }
 
 void Provisioner::retire_marks() {
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -20,6 +20,12 @@
     return {std::max(0.0, r.cpus), std::max(0.0, r.gpus), std::max(0.0, r.memory_gb)};
 }
 
+// What of an amount its team's limit counts: a slice carries nothing else, or every claim would
+// outgrow it in what nobody limits.
+Resources counted(const Resources& r, const Team& t) {
+    return {t.limit.cpus > 0 ? r.cpus : 0, t.limit.gpus > 0 ? r.gpus : 0, 0};
+}
+
 bool none(const Resources& r) {
     return r.cpus < Resources::slack && r.gpus < Resources::slack && r.memory_gb < Resources::slack;
 }
@@ -46,7 +52,7 @@
         if (!epoch || !epoch->has(s->first)) {
             // Claims of a member that left the epoch are all in the records, since each was
             // conditional on an epoch with it: its slice is worth what they still take.
-            s->second = at_least_zero(ctx_.jobs.used(t.name, s->first));
+            s->second = at_least_zero(counted(ctx_.jobs.used(t.name, s->first), t));
         }
         bool empty = none(s->second) && s->first != ctx_.me.id;
         s = empty ? next.held.erase(s) : std::next(s);
@@ -66,6 +72,7 @@
     if (auto p = pending_.find(name); p != pending_.end()) {
         wanted += p->second;
     }
+    wanted = counted(wanted, *t);
     auto key = keys::quota(name);
     auto it = ctx_.jobs.slices().find(key);
     if (it != ctx_.jobs.slices().end()) {
@@ -132,7 +139,8 @@
         // What is unused is given back only where the team is near its limit and another member
         // might miss it: a slice in hand saves a write with the next claim.
         Resources near = it->second.total() + t.limit * constants::slice_return_share;
-        Resources used = at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name];
+        Resources used = counted(
+            at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name], t);
         bool surplus = mine->second.gpus > used.gpus + Resources::slack ||
                        mine->second.cpus > used.cpus + Resources::slack;
         if (within(near, t) || !surplus) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -212,7 +212,7 @@
             continue;
         }
         bool ok = mine ? fleet_.usable(m)
-                       : m.up() && !m.notice_until && ctx_.jobs.mark(name) == nullptr;
+                       : m.up() && !m.gone && !m.notice_until && ctx_.jobs.mark(name) == nullptr;
         if (!ok) {
             continue;
         }
@@ -252,6 +252,9 @@
         return;
     }
     for (const Job* job : order()) {
+        if (blocks_open_ >= constants::claim_blocks_open) {
+            break;
+        }
         double since = open_since_.try_emplace(job->spec.uid, ctx_.now.steady).first->second;
         double stagger = constants::home_stagger_s * static_cast<double>(turn(*job));
         if (ctx_.now.steady - since >= stagger) {
@@ -563,6 +566,7 @@
         txn.writes.push_back({key, encode(b)});
         ctx_.busy.insert(key);
         batch_.blocks.push_back(key);
+        ++blocks_open_;
     }
     for (const auto& name : machines) {
         reserved_[name] += job.spec.each;
@@ -602,6 +606,7 @@
     Txn txn = std::move(batch.txn);
     ctx_.txn(std::move(txn), [this, batch, machines](const StateReply& r) {
         auto over = [this, batch, machines] {
+            blocks_open_ -= batch.blocks.size();
             for (const auto& key : batch.blocks) {
                 ctx_.busy.erase(key);
             }
