--- a/src/config/operators.cpp
+++ b/src/config/operators.cpp
@@ -73,4 +73,13 @@
     return tunables;
 }
 
+void check(const core::Settings& settings, const core::Tunables& tunables) {
+    double longest = settings.report_s * core::constants::report_spread;
+    if (tunables.silence_s > 0 && tunables.silence_s <= longest) {
+        throw Error("<silence-s> must be above " + std::to_string(longest) +
+                    ": workers that report every " + std::to_string(settings.report_s) +
+                    " s may be quiet that long");
+    }
+}
+
 }  // namespace cranemoor::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -21,4 +21,7 @@
 core::Tunables read_operators(const std::string& path);
 core::Tunables parse_operators(const std::string& text, const std::string& name);
 
+// Operators' values that contradict the platform's settings are refused.
+void check(const core::Settings& settings, const core::Tunables& tunables);
+
 }  // namespace cranemoor::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -48,6 +48,7 @@
         if (!operators.empty()) {
             tunables = cranemoor::config::read_operators(operators);
         }
+        cranemoor::config::check(settings, tunables);
         if (check) {
             std::puts("settings are valid");
             return 0;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -89,6 +89,17 @@
     EXPECT_NE(operators_error("<cranemoor><silence-s>9x</silence-s></cranemoor>"), "");
 }
 
+TEST(Operators, ASilenceShorterThanTheReportsAreApartIsRefused) {
+    core::Settings settings;
+    settings.report_s = 8;
+    core::Tunables tunables;
+    EXPECT_NO_THROW(check(settings, tunables));  // unset: it follows the settings
+    tunables.silence_s = 30;
+    EXPECT_NO_THROW(check(settings, tunables));
+    tunables.silence_s = 9;
+    EXPECT_THROW(check(settings, tunables), Error);
+}
+
 TEST(Operators, AnUnknownElementIsAnErrorThatNamesItsLine) {
     auto e = operators_error("<cranemoor>\n\n  <wibble>1</wibble>\n</cranemoor>");
     EXPECT_NE(e.find("line 3"), std::string::npos);
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -736,6 +736,117 @@
     EXPECT_TRUE(w.until([&] { return w.machines["vm-777777"].deleted; }, 120));
 }
 
+// --- many machines ------------------------------------------------------------------------
+
+TEST_F(Three, AThousandMachinesCostABoundedNumberOfWrites) {
+    w.settings.report_s = 8;
+    w.settings.lease_s = 42;
+    w.settings.cancel_s = 67;
+    w.settings.teams = {{"red", {0, 500, 0}, {0, 4000, 0}}, {"blue", {0, 500, 0}, {0, 4000, 0}}};
+    for (int i = 0; i < 1000; ++i) {
+        w.add_machine(fmt::format("vm-{:06}", 500000 + i), w.settings.zones[i % 3U]);
+    }
+    w.capacity = 0;
+    begin(3);
+    w.run(12);
+    const int jobs = 90;
+    for (int i = 0; i < jobs; ++i) {
+        auto kind = std::array{JobKind::array, JobKind::gang,
+                               JobKind::service}[static_cast<std::size_t>(i % 3)];
+        auto spec = w.job(i + 1, kind, kind == JobKind::array ? 24 : 2);
+        spec.team = i % 2 == 0 ? "red" : "blue";
+        if (kind == JobKind::gang) {
+            spec.each = {60, 8, 400};
+            spec.together = true;
+        }
+        w.submit(i % 3, spec);
+    }
+    auto placed = [&] {
+        int n = 0;
+        for (int i = 0; i < jobs; ++i) {
+            n += static_cast<int>(w.places(fmt::format("req-{:06}", i + 1)).size());
+        }
+        return n;
+    };
+    EXPECT_TRUE(w.until([&] { return placed() == 30 * 24 + 30 * 2 + 30 * 2; }, 20)) << placed();
+    // One write accepts a job; about one claims it, where a claim for each machine's report would
+    // take three for an array; slices are taken in coarse parts.
+    EXPECT_EQ(w.writes["c/j"], jobs);
+    EXPECT_LE(w.writes["c/b"], jobs * 3 / 2);
+    EXPECT_LE(w.writes["c/q"], 24);
+    w.run(60);
+    // The ends of 24 tasks are collected; a gang's are one write.
+    EXPECT_LE(w.writes["c/b"], jobs * 5);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(w.node(i).context().jobs.indexes_agree());
+    }
+    // A wave: the marks of many machines share records.
+    int before = w.writes["c/x"];
+    int hanging = 0;
+    for (auto& [name, m] : w.machines) {
+        if (hanging < 200 && !m.deleted) {
+            m.hangs = true;
+            ++hanging;
+        }
+    }
+    EXPECT_TRUE(w.until(
+        [&] {
+            return std::all_of(w.machines.begin(), w.machines.end(),
+                               [](const auto& m) { return !m.second.hangs || m.second.deleted; });
+        },
+        60));
+    EXPECT_LE(w.writes["c/x"] - before, 60);
+}
+
+TEST_F(Story, AClaimOnAMachineNobodyKnowsIsTakenBack) {
+    // Guards against a claim that lands after its machine was released and forgotten.
+    begin();
+    w.add_machine("vm-500000", "a");
+    w.capacity = 0;
+    w.run(6);
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 20));
+    const Json* block = w.stored("c/b/req-000001/0");
+    ASSERT_NE(block, nullptr);
+    Json late = *block;
+    late["attempt"] = 9;
+    late["placed"]["0"][0] = "vm-999999";
+    late["placed"]["0"][2] = 9;
+    w.machines["vm-500000"].tasks.clear();
+    w.store("c/b/req-000001/0", late);
+    EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 60));
+}
+
+TEST_F(Story, OneClaimOverMachinesOfTwoZonesKeepsAJobTogether) {
+    // A lone member owns the machines of all zones, and claims on several at once.
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.add_machine("vm-500001", "b");
+    w.run(6);
+    auto job = w.job(1, JobKind::array, 12);
+    job.together = true;
+    w.submit_and_wait(0, job);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 8; }, 20));
+    w.run(5);  // World checks the zone at every start
+    auto places = w.places("req-000001");
+    EXPECT_EQ(std::set<std::string>(places.begin(), places.end()).size(), 1U);
+}
+
+TEST_F(Story, LongReportIntervalsDoNotLookLikeSilence) {
+    w.settings.report_s = 8;
+    w.settings.lease_s = 42;
+    w.settings.cancel_s = 67;
+    begin();
+    w.add_machine("vm-500000", "a");
+    w.capacity = 0;
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    w.run(60);
+    EXPECT_FALSE(w.machines["vm-500000"].deleted);
+    EXPECT_EQ(w.writes["c/x"], 0);
+}
+
 // --- everything at once -------------------------------------------------------------------
 
 class Random : public ::testing::TestWithParam<unsigned> {};
@@ -813,6 +924,9 @@
             }
         }
         w.run(1 + pick(4));
+        for (int i = 0; i < 3; ++i) {
+            ASSERT_TRUE(!w.alive(i) || w.node(i).context().jobs.indexes_agree());
+        }
         ASSERT_EQ(w.broken, std::vector<std::string>()) << "step " << step;
     }
     // When the troubles end, whatever can end does.
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -162,6 +162,7 @@
 
 void World::changed(const std::string& key, const std::optional<Json>& value) {
     events_.push_back({key, value, tide_});
+    writes[key.substr(0, key.find('/', 2))]++;
 }
 
 StateReply World::execute(const StateCall& call) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -97,6 +97,7 @@
     std::vector<std::string> broken;  // rules broken, in words
     int rentals = 0;
     int transactions = 0;
+    std::map<std::string, int> writes;  // puts and deletes by kind of record, as in "c/b"
     std::vector<Txn> refused_txns;
     std::vector<std::string> log;
     double run_s = 20;  // run time of arrays' and gangs' tasks
