--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -173,6 +173,8 @@
 inline constexpr double list_lag_factor = 0.4;
 // s between looks at prices and types
 inline constexpr double types_every_s = 60.0;
+// s between words in the log about the whole fleet
+inline constexpr double fleet_word_every_s = 10.0;
 // s between provisioning decisions
 inline constexpr double provision_every_s = 0.5;
 // s looked back to tell how often whole machines are asked for
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -211,6 +211,19 @@
             empty.push_back(&m);
         }
     }
+    if (t >= next_word_) {
+        next_word_ = t + constants::fleet_word_every_s;
+        int up = 0;
+        double free = 0;
+        for (const auto& [name, m] : fleet_.machines()) {
+            bool counts = m.up() && !m.gone && ctx_.jobs.mark(name) == nullptr;
+            up += counts ? 1 : 0;
+            free += counts && !ctx_.jobs.on_machine(name).empty() ? fleet_.room(m).gpus : 0;
+        }
+        ctx_.info("fleet: {} machines up, {} of them empty, {} to keep so, {:.0f} GPUs free beside "
+                  "other work, {} jobs open",
+                  up, empty.size(), headroom(), free, ctx_.jobs.open().size());
+    }
     std::sort(empty.begin(), empty.end(), [](const Machine* a, const Machine* b) {
         return std::tie(a->spot, a->empty_since) > std::tie(b->spot, b->empty_since);
     });
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -70,6 +70,7 @@
     bool list_open_ = false;
     double next_list_ = 0;
     double next_plan_ = 0;
+    double next_word_ = 0;
     bool releasing_ = false;
     double next_release_ = 0;
     bool retiring_ = false;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -143,8 +143,8 @@
 
 double Scheduler::rank(const Offer& offer, const Job& job) const {
     // Cheap machines first for jobs that may use them, machines in use next, and empty ordinary
-    // ones last: those are kept whole for gangs that need one. Work that can wait a little goes
-    // to the fullest machine, so that the others become empty.
+    // ones last: those are kept whole for gangs that need one. Work goes to the fullest machine,
+    // so that the others become empty.
     const Machine& m = *offer.machine;
     if (job.spec.kind == JobKind::gang && job.done() == 0) {
         return m.spot ? 0 : 1;
@@ -153,8 +153,7 @@
         return 3;
     }
     const MachineType* t = fleet_.type(m.type);
-    bool patient = job.spec.priority <= Priority::normal;
-    double free = patient && t != nullptr && t->size.cpus > 0 ? offer.room.cpus / t->size.cpus : 0;
+    double free = t != nullptr && t->size.cpus > 0 ? offer.room.cpus / t->size.cpus : 0;
     // A start on a machine whose report was answered waits for its next one.
     double wait = m.request ? 0 : constants::rank_step;
     return (m.spot ? 0 : 1.5) + free + wait;
