--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -322,27 +322,33 @@
     }
 }
 
-// Whether waiting may find the job a machine with its image: one that has room, or work that
-// ends. One full of services frees none, and waiting for it would cost a start its time.
+// Whether waiting may find the job machines with its image, for a gang as many as it has tasks:
+// such that have room, or where work is expected to end before W is over. Waiting for others
+// would cost a start its time.
 bool Scheduler::local_chance(Round& round, const Job& job) const {
-    auto [it, first] =
-        round.memo.try_emplace("local|" + job.spec.image + "|" + demands(job.spec), false);
+    bool gang = job.spec.kind == JobKind::gang && job.done() == 0;
+    int needed = gang ? job.spec.tasks : 1;
+    auto [it, first] = round.memo.try_emplace(
+        fmt::format("local|{}|{}|{}", needed, job.spec.image, demands(job.spec)), false);
     if (!first) {
         return it->second;
     }
     int image = fleet_.image_number(job.spec.image);
+    int found = 0;
     for (const auto& [name, m] : fleet_.machines()) {
         if (!Fleet::has_image(m, image) || ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
             continue;
         }
-        bool chance = job.spec.each.fits_in(fleet_.room(m));
+        Resources room = fleet_.room(m);
         for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
-            if (chance) {
-                break;
+            double left =
+                on.job->spec.estimate_s - (ctx_.now.steady - fleet_.placed_at(id));
+            if (on.job->spec.kind != JobKind::service && left < ctx_.tunables.locality_wait_s) {
+                room += on.job->spec.each;
             }
-            chance = on.job->spec.kind != JobKind::service;
         }
-        if (chance) {
+        found += job.spec.each.fits_in(room) ? 1 : 0;
+        if (found >= needed) {
             it->second = true;
             break;
         }
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -554,6 +554,7 @@
     w.capacity = 0;
     w.run_s = 100;
     auto busy = w.job(1, JobKind::array, 8);  // fills the machine that has the image
+    busy.estimate_s = 2;                      // a mistake: it is expected to end any moment
     w.add_machine("vm-500000", "a");
     w.submit_and_wait(0, busy);
     ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 8; }, 30));
@@ -571,6 +572,26 @@
     EXPECT_GE(claimed - submitted, Tunables().locality_wait_s - 0.1);
 }
 
+TEST_F(Story, AGangDoesNotWaitForFewerMachinesWithItsImageThanItHasTasks) {
+    // Found in a grown day's log: gangs let free machines pass for W although only some of the
+    // machines they needed had their image.
+    begin();
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    auto first = w.job(1, JobKind::gang);
+    first.each = {60, 8, 400};
+    w.submit_and_wait(0, first);
+    ASSERT_TRUE(w.until([&] { return w.stored("f/req-000001") != nullptr; }, 60));
+    w.add_machine("vm-500001", "a");
+    ASSERT_TRUE(w.until([&] { return w.node(0).fleet().machines()["vm-500001"].adopted; }, 20));
+    w.run(1);
+    auto gang = w.job(2, JobKind::gang, 2);
+    gang.each = first.each;
+    w.submit_and_wait(0, gang);
+    EXPECT_TRUE(w.until([&] { return w.stored("c/b/req-000002/0") != nullptr; },
+                        Tunables().locality_wait_s - 1));
+}
+
 TEST_F(Story, AJobDoesNotWaitForAMachineFullOfServices) {
     // Found in a day's log: replicas let empty machines pass for the sake of full ones.
     begin();
