--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -637,23 +637,17 @@
     // Something to say: say it now.
     bool start_due = false;
     bool news = false;  // whether the worker may soon have something to report
-    std::size_t ours = 0;
     for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
         auto t = m.tasks.find({id, on.place->attempt});
         start_due = start_due || (t == m.tasks.end() && wants_start(m, *on.job));
-        // Nothing more is to be told of what has exited, nor of a replica that runs.
-        bool quiet = t != m.tasks.end() && (t->second.state == TaskState::exited ||
-                                            (t->second.state == TaskState::running &&
-                                             on.job->spec.kind == JobKind::service));
-        news = news || on.job->cancelled || !quiet;
-        ours += t != m.tasks.end() ? 1 : 0;
+        news = news || on.job->cancelled || on.job->spec.kind != JobKind::service ||
+               t == m.tasks.end() || t->second.state != TaskState::running;
     }
     bool offer = !start_due && usable(m);
     if (offer && !late && !m.considered) {
         return;  // the next round is a moment away
     }
-    // Told to forget a task, the worker reports again at once, and that answer can be kept open.
-    news = news || m.tasks.size() > ours;
+    news = news || m.tasks.size() > ctx_.jobs.on_machine(m.name).size();
     if (offer && !news && !late && room(m).cpus > Resources::slack) {
         // Nothing ends there by itself, so the worker has nothing to report: its answer is kept
         // open for a while, and a job that comes meanwhile starts without waiting for a report.
