--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -294,16 +294,15 @@
         }
         bool local = s.image_gb <= 0 || Fleet::has_image(*offer.machine, image) ||
                      std::count(offer.images.begin(), offer.images.end(), image) != 0;
-        double fetch = local ? 0 : fetch_pass(offer, s, image);
+        bool fetch_waits = !local && slow_fetch(offer, s, image);
         bool cheap = cheap_coming(round, offer, job);
-        bool pass = cheap || fetch > 0 || (!local && local_chance(round, job)) ||
+        bool pass = cheap || fetch_waits || (!local && local_chance(round, job)) ||
                     (!gang && better_elsewhere(round, offer, job));
-        double most = fetch > 0 ? fetch : ctx_.tunables.locality_wait_s;
+        double most = longest_pass(*offer.machine, s, fetch_waits);
         if (cheap) {
             most = std::max(most, constants::cheap_pass_s);
         }
-        bool patient = w.level == 0 || cheap || fetch > constants::fetch_pass_s;
-        if (pass && patient && w.wait < most) {
+        if (pass && (w.level == 0 || cheap) && w.wait < most) {
             w.skipped = true;
             continue;
         }
@@ -357,34 +356,33 @@
     return it->second;
 }
 
-// How long a job should let a machine pass that is fetching another image already: two fetches
-// share its rate, and both images would be late. 0: it fetches none. Work that is more urgent is
-// not slowed down by this one at all.
-double Scheduler::fetch_pass(const Offer& offer, const JobSpec& spec, int image) const {
-    const Machine& m = *offer.machine;
-    const MachineType* type = fleet_.type(m.type);
-    double rate = type != nullptr ? type->fetch_gb_per_s : 0;
-    auto fetch = [&](double gb) { return rate > 0 ? gb / rate : 0; };
-    // Waiting longer than the fetch itself takes can't pay.
-    double own = std::min(constants::fetch_pass_s,
-                          std::max(fetch(spec.image_gb), ctx_.tunables.locality_wait_s));
-    double pass = 0;
+// Whether the machine is fetching another image already: two fetches share its rate, and both
+// images would be late.
+bool Scheduler::slow_fetch(const Offer& offer, const JobSpec& spec, int image) const {
     for (int other : offer.images) {
         if (other != image) {
-            pass = own;
+            return true;
         }
     }
+    const Machine& m = *offer.machine;
     for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
         if (on.job->spec.image == spec.image) {
             continue;
         }
         auto t = m.tasks.find({id, on.place->attempt});
         if (t == m.tasks.end() || t->second.state == TaskState::fetching) {
-            bool urgent = on.job->spec.priority > spec.priority;
-            pass = std::max({pass, own, urgent ? fetch(on.job->spec.image_gb) : 0.0});
+            return true;
         }
     }
-    return pass;
+    return false;
+}
+
+double Scheduler::longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const {
+    const MachineType* t = fleet_.type(m.type);
+    double fetch = t != nullptr && t->fetch_gb_per_s > 0 ? spec.image_gb / t->fetch_gb_per_s : 0;
+    double most = fetch_waits ? constants::fetch_pass_s : ctx_.tunables.locality_wait_s;
+    // Waiting longer than the fetch itself takes can't pay, except for a better machine.
+    return fetch_waits ? std::min(most, std::max(fetch, ctx_.tunables.locality_wait_s)) : most;
 }
 
 // Claims as many of the job's tasks as the machines take, in one write for each block.
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -100,7 +100,8 @@
     bool claim_gang(Round& round, const Job& job, Wait& w);
     std::size_t turn(const Job& job) const;
     bool local_chance(Round& round, const Job& job) const;
-    double fetch_pass(const Offer& offer, const JobSpec& spec, int image) const;
+    bool slow_fetch(const Offer& offer, const JobSpec& spec, int image) const;
+    double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
     double rank(const Offer& offer, const Job& job) const;
     bool cheap_coming(Round& round, const Offer& offer, const Job& job) const;
