--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -822,7 +822,7 @@
 
 void Fleet::mark(Machine& m, const std::string& why, bool fence) {
     const Mark* old = ctx_.jobs.mark(m.name);
-    if (m.marking || !ctx_.member || (old != nullptr && (old->fence || !fence))) {
+    if (m.marking || !ctx_.member || !members_.in_contact() || (old != nullptr && (old->fence || !fence))) {
         return;
     }
     m.marking = true;
@@ -1054,16 +1054,41 @@
     if (members_.leading()) {
         conclude_gone();  // also of claims that came after the machine's end
     }
-    int mine = 0;
-    int silent = 0;
+    struct Count {
+        int mine = 0;
+        int silent = 0;
+        bool suspect() const {
+            return silent > constants::silent_few && silent > mine * constants::silent_share;
+        }
+    };
+    Count all;
+    std::map<std::string, Count> zones;
     for (auto& [name, m] : machines_) {
-        if (m.mine && m.reported && m.adopted) {
-            ++mine;
-            silent += t - std::max(m.last_report, m.owned_since) > silence ? 1 : 0;
+        bool known = m.reported || m.running_since >= 0;
+        if (m.mine && known && ctx_.jobs.mark(name) == nullptr) {
+            bool quiet = t - std::max(m.last_report, m.owned_since) > silence;
+            Count& zone = zones[m.zone];
+            zone.mine++;
+            zone.silent += quiet ? 1 : 0;
+            if (m.reported && m.adopted) {
+                all.mine++;
+                all.silent += quiet ? 1 : 0;
+            }
+        }
+    }
+    // When most machines fall silent at once, this process's own network is the likelier cause;
+    // when most of another zone do, that zone is cut off. Inside it work goes on and its images
+    // stay: releasing hundreds of healthy machines would cost more than waiting for them.
+    cut_zones_.clear();
+    double boot = 0;
+    for (const auto& type : types_) {
+        boot = std::max(boot, type.boot_s);
+    }
+    for (const auto& [zone, count] : zones) {
+        if (zone != ctx_.settings.zone && count.suspect()) {
+            cut_zones_.insert(zone);
         }
     }
-    // When most machines fall silent at once, this process's own network is the likelier cause.
-    bool suspect_self = silent > constants::silent_few && silent > mine * constants::silent_share;
     for (auto it = machines_.begin(); it != machines_.end();) {
         Machine& m = it->second;
         const Mark* mk = ctx_.jobs.mark(m.name);
@@ -1113,20 +1138,24 @@
         } else if (m.reported || placed) {
             double quiet = t - heard;
             double limit = silence;
-            if (silent == mine) {
+            if (all.silent == all.mine) {
                 // Perhaps only the way to it is cut: a worker needs this long to come back by
                 // way of another controller, which relays its reports.
                 limit = std::max(limit, constants::relay_detour_s);
             }
-            if (suspect_self) {
+            if (all.suspect()) {
                 limit = ctx_.settings.lease_s + silence;
             }
+            if (cut_zones_.count(m.zone) != 0) {
+                // By then every lease there has ended; starting anew costs about a boot.
+                limit = std::max(limit, ctx_.settings.cancel_s + boot);
+            }
             if (quiet > limit && m.probe_failures > 0) {
                 mark(m, "silent", true);
             } else if (quiet > limit - constants::order_timeout_s) {
                 probe(m);
             }
-        } else if (m.running_since >= 0 &&
+        } else if (m.running_since >= 0 && cut_zones_.count(m.zone) == 0 &&
                    t - std::max(m.running_since, m.owned_since) > constants::unreported_s) {
             mark(m, "never reported", true);
         }
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -118,6 +118,8 @@
     std::pair<double, double> whole_machine_arrivals(double since_wall) const;
     // Jobs submitted since then that may use spot machines.
     double cheap_arrivals(double since_wall) const;
+    // Whether that zone seems to be cut off: nothing new goes there.
+    bool cut_off(const std::string& zone) const { return cut_zones_.count(zone) != 0; }
     // Seconds without a report after which a machine is probed and then fenced.
     double silence_s() const;
     // When a task's placement was first seen here.
@@ -181,6 +183,7 @@
     std::deque<std::string> to_raise_;  // taken over, their token still to be raised
     std::map<std::pair<std::string, bool>, std::set<std::string>> to_mark_;  // by why and fence
     std::uint64_t marks_made_ = 0;
+    std::set<std::string> cut_zones_;
     double next_sweep_ = 0;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -249,7 +249,7 @@
     for (const auto& [name, m] : fleet_.machines()) {
         const MachineType* type = fleet_.type(m.type);
         if (type == nullptr || m.notice_until || ctx_.jobs.mark(name) != nullptr ||
-            m.listed_state == ListedState::failed) {
+            fleet_.cut_off(m.zone) || m.listed_state == ListedState::failed) {
             continue;
         }
         double age = ctx_.now.steady - m.born;
@@ -294,7 +294,7 @@
     std::optional<std::string> best;
     for (const auto& zone : t->zones) {
         auto full = no_capacity_until_.find({type, zone, spot});
-        if ((only && *only != zone) || barred.count(zone) != 0 ||
+        if ((only && *only != zone) || fleet_.cut_off(zone) || barred.count(zone) != 0 ||
             (full != no_capacity_until_.end() && full->second > ctx_.now.steady)) {
             continue;
         }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -169,7 +169,7 @@
         return it->second;
     }
     for (const auto& [name, other] : fleet_.machines()) {
-        if (other.up() && !ctx_.jobs.on_machine(name).empty() && !other.notice_until &&
+        if (other.up() && !fleet_.cut_off(other.zone) && !ctx_.jobs.on_machine(name).empty() && !other.notice_until &&
             job.spec.each.fits_in(fleet_.room(other)) && ctx_.jobs.mark(name) == nullptr &&
             allowed(job, other)) {
             it->second = true;
@@ -211,7 +211,8 @@
             continue;
         }
         bool ok = mine ? fleet_.usable(m)
-                       : m.up() && !m.gone && !m.notice_until && ctx_.jobs.mark(name) == nullptr;
+                       : m.up() && !m.gone && !m.notice_until && !fleet_.cut_off(m.zone) &&
+                             ctx_.jobs.mark(name) == nullptr;
         if (!ok) {
             continue;
         }
@@ -336,7 +337,7 @@
     int image = fleet_.image_number(job.spec.image);
     int found = 0;
     for (const auto& [name, m] : fleet_.machines()) {
-        if (!Fleet::has_image(m, image) || ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
+        if (!Fleet::has_image(m, image) || fleet_.cut_off(m.zone) || ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
             continue;
         }
         Resources room = fleet_.room(m);
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -757,6 +757,46 @@
     EXPECT_TRUE(w.until([&] { return w.machines["vm-777777"].deleted; }, 120));
 }
 
+TEST_F(Three, AZoneThatIsCutOffForAWhileLosesNoMachines) {
+    // Found in a grown day: a zone was cut off for little longer than its leases last, and every
+    // machine in it was released.
+    for (int i = 0; i < 36; ++i) {
+        w.add_machine(fmt::format("vm-{:06}", 500000 + i), w.settings.zones[i % 3U]);
+    }
+    w.capacity = 0;
+    begin(3);
+    for (int i = 0; i < 36; ++i) {
+        w.submit_and_wait(i % 3, w.job(i + 1, JobKind::service, 8));
+    }
+    w.run(15);
+    auto cut = [&](bool on) {
+        for (auto& [name, m] : w.machines) {
+            m.zone_cut = on && m.info.zone == "a";
+        }
+        if (on) {
+            w.state_refused.insert(0);
+            w.workers_cut.insert(0);
+            w.peers_cut = {{0, 1}, {0, 2}};
+        } else {
+            w.state_refused.clear();
+            w.workers_cut.clear();
+            w.peers_cut.clear();
+        }
+    };
+    cut(true);
+    w.run(w.settings.lease_s + 15);
+    EXPECT_EQ(w.writes["c/x"], 0);
+    cut(false);
+    w.run(20);
+    EXPECT_EQ(w.machines_up(), 36);
+    for (int i = 0; i < 36; ++i) {
+        EXPECT_EQ(w.running(fmt::format("req-{:06}", i + 1)), 8);
+    }
+    // A zone that stays away is given up in the end.
+    cut(true);
+    EXPECT_TRUE(w.until([&] { return w.machines_up() <= 24; }, w.settings.cancel_s + 60));
+}
+
 // --- many machines ------------------------------------------------------------------------
 
 TEST_F(Three, AThousandMachinesCostABoundedNumberOfWrites) {
