--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -44,7 +44,11 @@
     }
     if (t >= next_plan_) {
         next_plan_ = t + constants::provision_every_s;
-        rent();
+        // Small rentals would wait in line for the cloud's rate; meanwhile what is missing adds
+        // up to a few large ones.
+        if (rentals_.size() < constants::rentals_open) {
+            rent();
+        }
         return_idle();
     }
 }
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -859,6 +859,22 @@
     EXPECT_LE(w.writes["c/x"] - before, 60);
 }
 
+TEST_F(Story, ARushOfJobsIsRentedForInFewCalls) {
+    // Found in a grown day: each look made a rental of a few machines for every zone, and the
+    // calls waited in line for the cloud's rate while the machines were needed.
+    begin();
+    w.cloud_down = true;  // its calls take long: here, until it is back
+    for (int i = 0; i < 300; ++i) {
+        auto gang = w.job(i + 1, JobKind::gang);
+        gang.each = {60, 8, 400};
+        w.submit(0, gang);
+        w.run(0.03);
+    }
+    w.cloud_down = false;
+    EXPECT_TRUE(w.until([&] { return w.machines_up() >= 300; }, 20));
+    EXPECT_LE(w.rentals, 20);
+}
+
 TEST_F(Story, AClaimOnAMachineNobodyKnowsIsTakenBack) {
     // Guards against a claim that lands after its machine was released and forgotten.
     begin();
