--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -188,8 +188,6 @@
 inline constexpr double no_capacity_s = 12.0;
 // machines asked for in one rental at the most, the cloud's own maximum
 inline constexpr int rental_max = 50;
-// rentals under way from which no more are made: below a second's worth of calls
-inline constexpr std::size_t rentals_open = 4;
 // machines of one type, zone and kind asked for in one look: what the rate of calls allows in
 // the time of a boot, without a flood for a burst that the next look sees more clearly
 inline constexpr int rental_look = 200;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -112,8 +112,8 @@
     // A machine that is gone stays known for a moment longer than its mark; a silent one may be
     // gone: neither must be given work.
     return m.mine && m.adopted && !m.gone && !m.notice_until &&
-           ctx_.now.steady >= m.no_claims_until &&
-           ctx_.now.steady - m.last_report <= silence_s() && !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
+           ctx_.now.steady >= m.no_claims_until && ctx_.now.steady - m.last_report <= silence_s() &&
+           !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
 }
 
 // --- reports ------------------------------------------------------------------------------
@@ -822,7 +822,8 @@
 
 void Fleet::mark(Machine& m, const std::string& why, bool fence) {
     const Mark* old = ctx_.jobs.mark(m.name);
-    if (m.marking || !ctx_.member || !members_.in_contact() || (old != nullptr && (old->fence || !fence))) {
+    if (m.marking || !ctx_.member || !members_.in_contact() ||
+        (old != nullptr && (old->fence || !fence))) {
         return;
     }
     m.marking = true;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -22,14 +22,13 @@
     if (!list_open_ && t >= next_list_) {
         // As often as the list is renewed, and no more pages than a share of the calls allows.
         bool leading = members_.leading();
-        double pages =
-            1 + std::floor(static_cast<double>(fleet_.machines().size()) / constants::machines_page);
+        double pages = 1 + std::floor(static_cast<double>(fleet_.machines().size()) /
+                                      constants::machines_page);
         double calls = ctx_.settings.cloud_rps *
                        (leading ? constants::list_share : constants::list_share_others);
         double every = leading ? constants::list_every_s : constants::list_every_others_s;
-        next_list_ =
-            t + std::max({every, ctx_.settings.list_lag_s * constants::list_lag_factor,
-                          pages / calls});
+        next_list_ = t + std::max({every, ctx_.settings.list_lag_s * constants::list_lag_factor,
+                                   pages / calls});
         list("");
     }
     if (!members_.leading() || !members_.in_contact() || fleet_.types().empty()) {
@@ -44,11 +43,7 @@
     }
     if (t >= next_plan_) {
         next_plan_ = t + constants::provision_every_s;
-        // Small rentals would wait in line for the cloud's rate; meanwhile what is missing adds
-        // up to a few large ones.
-        if (rentals_.size() < constants::rentals_open) {
-            rent();
-        }
+        rent();
         return_idle();
     }
 }
@@ -153,7 +148,8 @@
         return;
     }
     next_retire_ = ctx_.now.steady + constants::retire_every_s;
-    std::erase_if(gone_since_, [&](const auto& g) { return ctx_.jobs.marks().count(g.first) == 0; });
+    std::erase_if(gone_since_,
+                  [&](const auto& g) { return ctx_.jobs.marks().count(g.first) == 0; });
     Txn txn;
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
@@ -188,8 +184,7 @@
     }
     // About as many machines become free as are asked for; what must be kept is the swing, which
     // is large where one job takes many machines.
-    auto [sum, squares] =
-        fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
+    auto [sum, squares] = fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
     double swing = std::sqrt(squares / constants::arrivals_s * boot);
     double asked = std::min(sum, swing * constants::headroom_margin);
     return static_cast<int>(std::ceil(std::min(asked, ctx_.tunables.headroom_machines)));
@@ -224,9 +219,10 @@
             up += counts ? 1 : 0;
             free += counts && !ctx_.jobs.on_machine(name).empty() ? fleet_.room(m).gpus : 0;
         }
-        ctx_.info("fleet: {} machines up, {} of them empty, {} to keep so, {:.0f} GPUs free beside "
-                  "other work, {} jobs open",
-                  up, empty.size(), headroom(), free, ctx_.jobs.open().size());
+        ctx_.info(
+            "fleet: {} machines up, {} of them empty, {} to keep so, {:.0f} GPUs free beside "
+            "other work, {} jobs open",
+            up, empty.size(), headroom(), free, ctx_.jobs.open().size());
     }
     std::sort(empty.begin(), empty.end(), [](const Machine* a, const Machine* b) {
         return std::tie(a->spot, a->empty_since) > std::tie(b->spot, b->empty_since);
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -139,8 +139,8 @@
         // What is unused is given back only where the team is near its limit and another member
         // might miss it: a slice in hand saves a write with the next claim.
         Resources near = it->second.total() + t.limit * constants::slice_return_share;
-        Resources used = counted(
-            at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name], t);
+        Resources used =
+            counted(at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name], t);
         bool surplus = mine->second.gpus > used.gpus + Resources::slack ||
                        mine->second.cpus > used.cpus + Resources::slack;
         if (within(near, t) || !surplus) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -92,9 +92,8 @@
                                stable_hash(job.spec.uid + "|" + m.name));
     };
     auto mine = draw(ctx_.me);
-    return static_cast<std::size_t>(
-        std::count_if(epoch->members.begin(), epoch->members.end(),
-                      [&](const Member& m) { return draw(m) > mine; }));
+    return static_cast<std::size_t>(std::count_if(epoch->members.begin(), epoch->members.end(),
+                                                  [&](const Member& m) { return draw(m) > mine; }));
 }
 
 bool Scheduler::allowed(const Job& job, const Machine& m) const {
@@ -137,8 +136,8 @@
 // other tasks.
 std::string Scheduler::demands(const JobSpec& s) {
     return fmt::format("{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb, s.spot,
-                       s.zone ? *s.zone : "", s.types ? fmt::format("{}", fmt::join(*s.types, ","))
-                                                      : "");
+                       s.zone ? *s.zone : "",
+                       s.types ? fmt::format("{}", fmt::join(*s.types, ",")) : "");
 }
 
 double Scheduler::rank(const Offer& offer, const Job& job) const {
@@ -169,9 +168,9 @@
         return it->second;
     }
     for (const auto& [name, other] : fleet_.machines()) {
-        if (other.up() && !fleet_.cut_off(other.zone) && !ctx_.jobs.on_machine(name).empty() && !other.notice_until &&
-            job.spec.each.fits_in(fleet_.room(other)) && ctx_.jobs.mark(name) == nullptr &&
-            allowed(job, other)) {
+        if (other.up() && !fleet_.cut_off(other.zone) && !ctx_.jobs.on_machine(name).empty() &&
+            !other.notice_until && job.spec.each.fits_in(fleet_.room(other)) &&
+            ctx_.jobs.mark(name) == nullptr && allowed(job, other)) {
             it->second = true;
             break;
         }
@@ -337,13 +336,13 @@
     int image = fleet_.image_number(job.spec.image);
     int found = 0;
     for (const auto& [name, m] : fleet_.machines()) {
-        if (!Fleet::has_image(m, image) || fleet_.cut_off(m.zone) || ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
+        if (!Fleet::has_image(m, image) || fleet_.cut_off(m.zone) ||
+            ctx_.jobs.mark(name) != nullptr || !allowed(job, m)) {
             continue;
         }
         Resources room = fleet_.room(m);
         for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
-            double left =
-                on.job->spec.estimate_s - (ctx_.now.steady - fleet_.placed_at(id));
+            double left = on.job->spec.estimate_s - (ctx_.now.steady - fleet_.placed_at(id));
             if (on.job->spec.kind != JobKind::service && left < ctx_.tunables.locality_wait_s) {
                 room += on.job->spec.each;
             }
@@ -448,8 +447,7 @@
         }
         std::vector<std::string> machines;
         for (const auto& [t, offer] : places) {
-            next.placed[t] = {offer->machine->name, offer->machine->zone, next.attempt,
-                              ctx_.me.id};
+            next.placed[t] = {offer->machine->name, offer->machine->zone, next.attempt, ctx_.me.id};
             machines.push_back(offer->machine->name);
             offer->empty = false;
             offer->images.push_back(image);
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -124,7 +124,7 @@
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
     Batch batch_;
-    std::size_t blocks_open_ = 0;  // claims on their way to the records
+    std::size_t blocks_open_ = 0;                 // claims on their way to the records
     std::map<std::string, double> open_since_;    // jobs with tasks to place
     std::map<std::string, double> preempted_at_;  // by job that room was made for
     std::map<std::string, double> held_since_;    // gangs that machines are held for
