--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -89,7 +89,7 @@
 // s a job lets a machine pass that is busy fetching another image; most machines come up within
 // that time of each other
 inline constexpr double fetch_pass_s = 10.0;
-// s work that may run on a cheap machine leaves empty ordinary ones alone: two reports
+// s work that may run on a cheap machine leaves empty ordinary ones alone
 inline constexpr double cheap_pass_s = 6.0;
 // share of a machine by which another must be fuller to be the better one
 inline constexpr double rank_step = 0.1;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -5,8 +5,8 @@
 Controller::Controller(Settings settings, Tunables tunables, std::string boot)
     : ctx_(std::move(settings), tunables, std::move(boot)),
       members_(ctx_),
-      fleet_(ctx_, members_),
       quota_(ctx_),
+      fleet_(ctx_, members_, quota_),
       scheduler_(ctx_, members_, fleet_, quota_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
       requests_(ctx_, members_, fleet_, quota_) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -51,8 +51,8 @@
 
     Context ctx_;
     Membership members_;
-    Fleet fleet_;
     Quota quota_;
+    Fleet fleet_;
     Scheduler scheduler_;
     Provisioner provisioner_;
     Requests requests_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -116,6 +116,19 @@
            !m.marking && ctx_.jobs.mark(m.name) == nullptr && type(m.type) != nullptr;
 }
 
+bool Fleet::in_use(const Machine& m) const {
+    return m.up() && !m.gone && !m.notice_until && !cut_off(m.zone) &&
+           ctx_.jobs.mark(m.name) == nullptr;
+}
+
+double Fleet::longest_boot_s() const {
+    double boot = 0;
+    for (const auto& t : types_) {
+        boot = std::max(boot, t.boot_s);
+    }
+    return boot;
+}
+
 // --- reports ------------------------------------------------------------------------------
 
 void Fleet::refuse(std::uint64_t request, int status, const std::string& home) {
@@ -345,9 +358,7 @@
                 exited(m, t->second);
             } else {
                 m.seen.insert(attempt);
-                if (job->cancelled || gang_broken(*job)) {
-                    stop(m, attempt, 0);
-                }
+                stop_unwanted(m, *job, id, *p);
             }
             continue;
         }
@@ -388,14 +399,10 @@
             return true;
         }
     }
-    for (const auto& t : ctx_.settings.teams) {
-        if (t.name == job.spec.team) {
-            Resources used = ctx_.jobs.used(t.name) + t.limit * constants::slice_return_share;
-            if ((t.limit.gpus > 0 && used.gpus > t.limit.gpus) ||
-                (t.limit.cpus > 0 && used.cpus > t.limit.cpus)) {
-                return true;
-            }
-        }
+    const Team* team = quota_.team(job.spec.team);
+    if (team != nullptr &&
+        !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
+        return true;
     }
     bool more_here = false;
     job.each_placement([&](int task, const Placement& p) {
@@ -968,6 +975,14 @@
     }
 }
 
+void Fleet::note_empty(Machine& m) const {
+    if (!ctx_.jobs.on_machine(m.name).empty()) {
+        m.empty_since = -1;
+    } else if (m.empty_since < 0) {
+        m.empty_since = ctx_.now.steady;
+    }
+}
+
 void Fleet::records_changed() {
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
         placed_at_[id] = ctx_.now.steady;
@@ -991,11 +1006,7 @@
             continue;
         }
         m->room_known = false;
-        if (!ctx_.jobs.on_machine(name).empty()) {
-            m->empty_since = -1;
-        } else if (m->empty_since < 0) {
-            m->empty_since = ctx_.now.steady;
-        }
+        note_empty(*m);
         settle(*m);
     }
     for (const auto& uid : ctx_.jobs.take_touched_jobs()) {
@@ -1081,10 +1092,6 @@
     // when most of another zone do, that zone is cut off. Inside it work goes on and its images
     // stay: releasing hundreds of healthy machines would cost more than waiting for them.
     cut_zones_.clear();
-    double boot = 0;
-    for (const auto& type : types_) {
-        boot = std::max(boot, type.boot_s);
-    }
     for (const auto& [zone, count] : zones) {
         if (zone != ctx_.settings.zone && count.suspect()) {
             cut_zones_.insert(zone);
@@ -1115,11 +1122,7 @@
         }
         ++it;
         bool placed = !ctx_.jobs.on_machine(m.name).empty();
-        if (placed) {
-            m.empty_since = -1;
-        } else if (m.empty_since < 0) {
-            m.empty_since = t;
-        }
+        note_empty(m);
         if (!ctx_.member || !m.mine || mk != nullptr) {
             continue;
         }
@@ -1149,7 +1152,7 @@
             }
             if (cut_zones_.count(m.zone) != 0) {
                 // By then every lease there has ended; starting anew costs about a boot.
-                limit = std::max(limit, ctx_.settings.cancel_s + boot);
+                limit = std::max(limit, ctx_.settings.cancel_s + longest_boot_s());
             }
             if (quiet > limit && m.probe_failures > 0) {
                 mark(m, "silent", true);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -12,6 +12,7 @@
 
 #include "core/context.hpp"
 #include "core/membership.hpp"
+#include "core/quota.hpp"
 
 namespace cranemoor::core {
 
@@ -80,7 +81,8 @@
 
 class Fleet {
   public:
-    Fleet(Context& ctx, Membership& members) : ctx_(ctx), members_(members) {}
+    Fleet(Context& ctx, Membership& members, const Quota& quota)
+        : ctx_(ctx), members_(members), quota_(quota) {}
 
     // A report; relayed ones came over a peer and are never passed on again.
     void report(std::uint64_t request, const Report& report, bool relayed);
@@ -102,6 +104,9 @@
     const Resources& room(const Machine& m) const;
     // Whether new tasks may be claimed on it, as far as this controller knows.
     bool usable(const Machine& m) const;
+    // The same of any member's machine, from what all know.
+    bool in_use(const Machine& m) const;
+    double longest_boot_s() const;
     // Answers the open report now, with all commands due.
     void answer(Machine& m);
     // Answers it if there is something to say or nothing to wait for.
@@ -164,12 +169,14 @@
     void forget_outcomes(const std::string& machine);
     bool due(const Job& job, const Pending& pending) const;
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
+    void note_empty(Machine& m) const;
     void sweep();
     void raise_tokens();
     void write_marks();
 
     Context& ctx_;
     Membership& members_;
+    const Quota& quota_;
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
     mutable std::unordered_map<std::string, int> image_numbers_;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -178,14 +178,10 @@
 }
 
 int Provisioner::headroom() const {
-    double boot = 0;
-    for (const auto& t : fleet_.types()) {
-        boot = std::max(boot, t.boot_s);
-    }
     // About as many machines become free as are asked for; what must be kept is the swing, which
     // is large where one job takes many machines.
     auto [sum, squares] = fleet_.whole_machine_arrivals(ctx_.now.wall - constants::arrivals_s);
-    double swing = std::sqrt(squares / constants::arrivals_s * boot);
+    double swing = std::sqrt(squares / constants::arrivals_s * fleet_.longest_boot_s());
     double asked = std::min(sum, swing * constants::headroom_margin);
     return static_cast<int>(std::ceil(std::min(asked, ctx_.tunables.headroom_machines)));
 }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -168,9 +168,8 @@
         return it->second;
     }
     for (const auto& [name, other] : fleet_.machines()) {
-        if (other.up() && !fleet_.cut_off(other.zone) && !ctx_.jobs.on_machine(name).empty() &&
-            !other.notice_until && job.spec.each.fits_in(fleet_.room(other)) &&
-            ctx_.jobs.mark(name) == nullptr && allowed(job, other)) {
+        if (fleet_.in_use(other) && !ctx_.jobs.on_machine(name).empty() &&
+            job.spec.each.fits_in(fleet_.room(other)) && allowed(job, other)) {
             it->second = true;
             break;
         }
@@ -209,10 +208,7 @@
         if (m.mine != mine) {
             continue;
         }
-        bool ok = mine ? fleet_.usable(m)
-                       : m.up() && !m.gone && !m.notice_until && !fleet_.cut_off(m.zone) &&
-                             ctx_.jobs.mark(name) == nullptr;
-        if (!ok) {
+        if (!(mine ? fleet_.usable(m) : fleet_.in_use(m))) {
             continue;
         }
         m.considered = true;
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -60,7 +60,7 @@
         Resources amount;
     };
 
-    // The claims of one opportunity, written together: one by one they would all change the
+    // Claims of one round, written together: one by one they would all change the
     // same quota record and fail each other.
     struct Batch {
         Txn txn;
