--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -152,13 +152,15 @@
 inline constexpr double silent_share = 0.5;
 // machines silent at once that never raise that suspicion
 inline constexpr int silent_few = 2;
-// consecutive errors after which a machine is set aside
+// jobs whose tasks fail on a machine, one after the other, after which it is set aside: several
+// tasks of one job say no more than one
 inline constexpr int machine_errors_max = 2;
-// s of pause for a job after its first failed task; doubles up to job_backoff_max_s
+// s of pause for a doubtful job, doubled with each further failure up to job_backoff_max_s; also
+// the pause of a machine after a failure, so that the next try goes elsewhere
 inline constexpr double job_backoff_s = 2.0;
 inline constexpr double job_backoff_max_s = 60.0;
-// distinct machines on which a job failed before its failures stop counting against machines
-inline constexpr int job_bad_machines = 2;
+// failures in a row after which a job is doubtful: the first machine may have been at fault
+inline constexpr int job_fails_doubtful = 2;
 
 // --- cloud --------------------------------------------------------------------------------
 // s; the cloud's answers take a few hundred ms
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -297,6 +297,7 @@
     o.attempt = s.attempt;
     o.machine = m.name;
     o.done = s.why == ExitReason::done;
+    o.error = s.why == ExitReason::error || s.why == ExitReason::unknown_task;
     o.why = reason_name(s.why);
     auto pending = outcomes_.find(s.id.uid);
     bool known = false;
@@ -314,39 +315,61 @@
         // and one write tells it.
         job->each_placement([&](int task, const Placement& p) {
             if (p.attempt == s.attempt) {
-                conclude({s.id.uid, task}, {p.attempt, true, "done", p.machine});
+                conclude({s.id.uid, task}, {p.attempt, true, "done", p.machine, false});
             }
             return true;
         });
     }
     if (o.done) {
-        m.errors = 0;
-        failures_.erase(s.id.uid);
-    } else if (s.why == ExitReason::error || s.why == ExitReason::unknown_task) {
-        Failures& f = failures_[s.id.uid];
-        f.machines.insert(m.name);
-        f.count++;
-        double pause = constants::job_backoff_s;
-        for (int i = 1; i < f.count && pause < constants::job_backoff_max_s; ++i) {
-            pause *= 2;
-        }
-        // The first machine that fails it may be at fault; the job itself is held back only
-        // once a second machine has failed it too.
-        bool bad_job = static_cast<int>(f.machines.size()) >= constants::job_bad_machines;
-        f.not_before =
-            ctx_.now.steady + (bad_job ? std::min(pause, constants::job_backoff_max_s) : 0.0);
-        if (!bad_job) {
-            m.errors++;
-            if (m.errors >= constants::machine_errors_max) {
-                mark(m, "failing tasks", false);
-            }
-        }
-        m.no_claims_until = ctx_.now.steady + constants::job_backoff_s * m.errors;
+        m.failed_jobs.clear();
+    } else if (o.error) {
+        failed(m, job, s.id.uid);
     } else if (s.why == ExitReason::no_room || s.why == ExitReason::busy) {
         m.no_claims_until = ctx_.now.steady + constants::job_backoff_s;
     }
 }
 
+// A failed task speaks against its machine, until its job has failed elsewhere too. Guards against
+// machines set aside for a job that was submitted with a mistake, however many of its tasks failed
+// there.
+void Fleet::failed(Machine& m, const Job* job, const std::string& uid) {
+    if (job == nullptr || !job->doubtful()) {
+        m.failed_jobs.insert(uid);
+    }
+    if (m.failed_jobs.size() >= constants::machine_errors_max) {
+        mark(m, "failing tasks", false);
+    }
+    m.no_claims_until = ctx_.now.steady + constants::job_backoff_s;
+}
+
+// Failures are counted in the job's blocks, with the ends that are written anyway: every member
+// knows of them, also after a take-over. The pause begins when they are seen.
+void Fleet::note_failures(const std::string& uid, const Job& job) {
+    auto it = failures_.find(uid);
+    if (job.fails == 0) {
+        if (it != failures_.end()) {
+            failures_.erase(it);
+        }
+        return;
+    }
+    Failures& f = it == failures_.end() ? failures_[uid] : it->second;
+    if (f.count == job.fails) {
+        return;
+    }
+    f.count = job.fails;
+    if (!job.doubtful()) {
+        return;
+    }
+    double pause = constants::job_backoff_s;
+    for (int i = constants::job_fails_doubtful; i <= job.fails; ++i) {
+        pause = std::min(pause * 2, constants::job_backoff_max_s);
+    }
+    f.not_before = ctx_.now.steady + pause;
+    for (auto& [name, m] : machines_) {
+        m.failed_jobs.erase(uid);
+    }
+}
+
 void Fleet::observe(Machine& m, bool from_report) {
     for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
         const Job* job = on.job;
@@ -445,7 +468,12 @@
             ++job_it;
             continue;
         }
+        struct Told {
+            bool done = false;
+            bool error = false;
+        };
         std::map<int, Block> changed;
+        std::map<int, Told> told;
         bool busy = false;
         for (const auto& [index, outcome] : tasks) {
             int k = job->block_of(index);
@@ -458,6 +486,13 @@
             if (outcome.done) {
                 it->second.add_done(index);
             }
+            Told& t = told[k];
+            t.done = t.done || outcome.done;
+            t.error = t.error || outcome.error;
+        }
+        for (const auto& [k, t] : told) {
+            int& fails = changed.at(k).fails;
+            fails = t.done ? 0 : fails + (t.error ? 1 : 0);
         }
         int done = job->done();
         for (const auto& [k, b] : changed) {
@@ -799,7 +834,8 @@
         bool known = !m.name.empty();
         m.room_known = m.room_known && m.type == l.type;
         m.name = l.name;
-        m.address = l.address;
+        // A rental's answer names no address. It may come after the machine's first report.
+        m.address = l.address.empty() ? m.address : l.address;
         m.type = l.type;
         m.zone = l.zone;
         m.spot = l.spot;
@@ -1015,9 +1051,11 @@
         }
         const Job* job = ctx_.jobs.find(uid);
         if (job == nullptr) {
+            failures_.erase(uid);
             continue;
         }
         note_arrival(uid, *job);
+        note_failures(uid, *job);
         job->each_placement([&](int task, const Placement& p) {
             if (Machine* m = find(p.machine)) {
                 stop_unwanted(*m, *job, {uid, task}, p);
@@ -1035,7 +1073,7 @@
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
         for (const auto& name : marks.gone) {
             for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
-                conclude(id, {on.place->attempt, false, "machine gone", name});
+                conclude(id, {on.place->attempt, false, "machine gone", name, false});
             }
         }
     }
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -46,7 +46,7 @@
         double last_sent = -1e9;
     };
     std::map<Attempt, Stop> stops;
-    int errors = 0;
+    std::set<std::string> failed_jobs;  // that failed there since the last task was done
     double no_claims_until = -1e9;
     bool held = false;  // its answer is kept open until answer_by, unless something changes
     bool probing = false;
@@ -141,6 +141,7 @@
         bool done = false;
         std::string why;
         std::string machine;
+        bool error = false;  // the task itself failed
     };
     // Outcomes of one job's tasks that are not written yet.
     struct Pending {
@@ -148,8 +149,8 @@
         double since = 0;  // of the oldest
         bool look = true;  // whether something changed since it was last looked at
     };
+    // What this process makes of a job's failures, which stand in its blocks.
     struct Failures {
-        std::set<std::string> machines;
         int count = 0;
         double not_before = -1e9;
     };
@@ -166,6 +167,8 @@
     void refuse(std::uint64_t request, int status, const std::string& home = "");
     void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
     void note_arrival(const std::string& uid, const Job& job);
+    void note_failures(const std::string& uid, const Job& job);
+    void failed(Machine& m, const Job* job, const std::string& uid);
     void forget_outcomes(const std::string& machine);
     bool due(const Job& job, const Pending& pending) const;
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -83,10 +83,15 @@
 void Jobs::classify(const std::string& uid, Job& job) {
     job.done_total = 0;
     job.placed_total = 0;
+    job.fails = 0;
+    bool some_well = false;  // tasks of another block were done: the job itself is sound
     for (const auto& [k, b] : job.blocks) {
+        job.fails = std::max(job.fails, b.fails);
+        some_well = some_well || (b.fails == 0 && !b.done.empty());
         job.done_total += b.done_count();
         job.placed_total += static_cast<int>(b.placed.size());
     }
+    job.fails = some_well ? 0 : job.fails;
     bool live = job.revision != 0;
     auto keep = [&](std::set<std::string>& in, bool member) {
         if (member) {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/actions.hpp"
+#include "core/constants.hpp"
 #include "core/records.hpp"
 
 namespace cranemoor::core {
@@ -26,6 +27,7 @@
     // running totals over the blocks, kept by Jobs
     int done_total = 0;
     int placed_total = 0;
+    int fails = 0;  // the most of any block
 
     int block_count() const { return (spec.tasks + block_size - 1) / block_size; }
     int block_of(int task) const { return task / block_size; }
@@ -35,6 +37,8 @@
     int done() const { return done_total; }
     int placed() const { return placed_total; }
     bool complete() const { return done() == spec.tasks; }
+    // Failed again after another try: its user's mistake is likelier than a second bad machine.
+    bool doubtful() const { return fails >= constants::job_fails_doubtful; }
     // Visits all tasks with a place as (task, placement), until the visitor returns false.
     template <typename Visit>
     void each_placement(Visit visit) const {
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -319,9 +319,15 @@
     for (const Job* job : jobs) {
         const JobSpec& s = job->spec;
         const MachineType* type = cheapest(s);
-        if (type == nullptr) {
+        // Nothing is rented for a job that is likely to fail again, unless it finds no room for
+        // long: it must have its tries.
+        bool in_doubt =
+            job->doubtful() && scheduler_.waited_s(s.uid) < constants::job_backoff_max_s;
+        if (type == nullptr || in_doubt) {
             continue;
         }
+        // Idle work has cheap machines rented for it, ordinary ones only if it may not use others.
+        bool idle_work = s.priority == Priority::best_effort && s.spot;
         std::optional<std::string> only = s.zone;
         std::map<std::string, int> in_zone;
         job->each_placement([&](int, const Placement& p) {
@@ -333,7 +339,7 @@
         });
         // A job that may use cheap machines takes an empty ordinary one only if no cheap one can
         // be had.
-        bool cheap = s.spot && pick_zone(type->name, true, only, load);
+        bool cheap = s.spot && (idle_work || pick_zone(type->name, true, only, load));
         auto demands = Scheduler::demands(s) + (cheap ? "|cheap|" : "|");
         auto fits = [&](const Bin& b) {
             bool type_ok =
@@ -385,7 +391,7 @@
             if (found == free.size()) {
                 bool spot = s.spot;
                 auto zone = pick_zone(type->name, spot, only, load, barred);
-                if (!zone && spot) {
+                if (!zone && spot && !idle_work) {
                     spot = false;
                     zone = pick_zone(type->name, spot, only, load, barred);
                 }
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -180,7 +180,11 @@
     for (const auto& [from, to] : block.done) {
         done.push_back(Json::array({from, to}));
     }
-    return {{"attempt", block.attempt}, {"placed", placed}, {"done", done}};
+    Json v = {{"attempt", block.attempt}, {"placed", placed}, {"done", done}};
+    if (block.fails > 0) {
+        v["fails"] = block.fails;
+    }
+    return v;
 }
 
 Block decode_block(const Json& v) {
@@ -194,6 +198,7 @@
     for (const auto& range : v.at("done")) {
         block.done.emplace_back(range.at(0).get<int>(), range.at(1).get<int>());
     }
+    block.fails = v.value("fails", 0);
     return block;
 }
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -13,6 +13,12 @@
 
 }  // namespace
 
+// How long the job has had tasks to place, as far as this process has seen.
+double Scheduler::waited_s(const std::string& uid) const {
+    auto it = open_since_.find(uid);
+    return it == open_since_.end() ? 0 : ctx_.now.steady - it->second;
+}
+
 std::vector<const Job*> Scheduler::order() const {
     struct Rank {
         bool below = false;
@@ -26,16 +32,17 @@
         r.deficit = std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
                              t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
         r.below = r.deficit > Resources::slack;
-        // The settings carry no weights: a team weighs what it is guaranteed, else 1.
-        double weight = std::max(t.guarantee.gpus, t.guarantee.cpus);
-        r.share = std::max(used.gpus, t.guarantee.gpus > 0 ? 0.0 : used.cpus) /
-                  (weight > 0 ? weight : 1.0);
+        // The settings carry no weights: a team weighs what it is guaranteed, else 1. Amounts are
+        // compared by the resource of which they take most: a team may use CPUs alone.
+        double weight = dominant(t.guarantee);
+        r.share = dominant(used) / (weight > 0 ? weight : 1.0);
         teams[t.name] = r;
     }
     struct Entry {
         const Job* job;
         const Rank* team;
         bool home;
+        bool leftover;  // idle work beyond a guarantee: after everybody else's
     };
     static const Rank none;
     std::vector<Entry> list;
@@ -43,12 +50,17 @@
     for (const Job* job : ctx_.jobs.open()) {
         if (ctx_.now.steady >= fleet_.job_pause_until(job->spec.uid)) {
             auto t = teams.find(job->spec.team);
-            list.push_back({job, t == teams.end() ? &none : &t->second, turn(*job) == 0});
+            const Rank* team = t == teams.end() ? &none : &t->second;
+            bool leftover = job->spec.priority == Priority::best_effort && !team->below;
+            list.push_back({job, team, turn(*job) == 0, leftover});
         }
     }
     std::sort(list.begin(), list.end(), [](const Entry& x, const Entry& y) {
         const JobSpec& a = x.job->spec;
         const JobSpec& b = y.job->spec;
+        if (x.leftover != y.leftover) {
+            return y.leftover;
+        }
         if (a.team != b.team) {
             if (x.team->below != y.team->below) {
                 return x.team->below;
@@ -79,6 +91,34 @@
     return jobs;
 }
 
+// The part of a machine that an amount takes, by the resource of which it takes most.
+double Scheduler::dominant(const Resources& amount) const {
+    if (fleet_.types().empty()) {
+        return std::max(amount.gpus, amount.cpus);
+    }
+    const Resources& size = fleet_.types().front().size;
+    return std::max(part(amount.gpus, size.gpus), part(amount.cpus, size.cpus));
+}
+
+// What of an offer's room a job may use. Idle work that may use cheap machines gets only what is
+// left over on ordinary ones: never an empty one, and no CPUs that the free GPUs may need.
+Resources Scheduler::room_for(const Offer& offer, const JobSpec& s) const {
+    Resources room = offer.room;
+    const Machine& m = *offer.machine;
+    if (s.priority != Priority::best_effort || !s.spot || m.spot) {
+        return room;
+    }
+    if (offer.empty) {
+        return {};
+    }
+    const MachineType* t = fleet_.type(m.type);
+    if (s.each.gpus <= 0 && t != nullptr && t->size.gpus > 0) {
+        room.cpus -= room.gpus * t->size.cpus / t->size.gpus;
+        room.memory_gb -= room.gpus * t->size.memory_gb / t->size.gpus;
+    }
+    return room;
+}
+
 // This member's place in the order in which members look at a new job. A zone is drawn first, so
 // that each zone's machines get their share whatever the number of members in it.
 std::size_t Scheduler::turn(const Job& job) const {
@@ -135,8 +175,8 @@
 // What decides whether a task fits a machine, apart from zone rules that depend on its job's
 // other tasks.
 std::string Scheduler::demands(const JobSpec& s) {
-    return fmt::format("{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb, s.spot,
-                       s.zone ? *s.zone : "",
+    return fmt::format("{}|{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb, s.spot,
+                       s.priority == Priority::best_effort, s.zone ? *s.zone : "",
                        s.types ? fmt::format("{}", fmt::join(*s.types, ",")) : "");
 }
 
@@ -280,7 +320,7 @@
     bool fits = false;
     std::vector<Choice> choices;
     for (auto& offer : round.offers) {
-        if (!offer.mine || !s.each.fits_in(offer.room) || !allowed(job, *offer.machine)) {
+        if (!offer.mine || !s.each.fits_in(room_for(offer, s)) || !allowed(job, *offer.machine)) {
             continue;
         }
         fits = true;
@@ -386,7 +426,7 @@
     const JobSpec& s = job.spec;
     int image = fleet_.image_number(s.image);
     std::size_t machines_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 2;
-    int claimed = 0;
+    std::size_t claimed = 0;
     for (int k = 0; k < job.block_count(); ++k) {
         if (ctx_.busy.count(keys::block(s.uid, k)) != 0) {
             continue;
@@ -408,7 +448,7 @@
             if (zone.second) {
                 zone.first->second = spread_room(job, k, c.offer->machine->zone);
             }
-            if (zone.first->second <= 0 || !s.each.fits_in(c.offer->room)) {
+            if (zone.first->second <= 0 || !s.each.fits_in(room_for(*c.offer, s))) {
                 return false;
             }
             --zone.first->second;
@@ -420,7 +460,9 @@
             }
             // Less than what would fit, if the limit allows only that.
             Resources all = s.each * static_cast<double>(places.size() + 1);
-            if (!quota_.within_limit(s.team, all)) {
+            // Of a doubtful job one task is tried at a time, until one is done.
+            bool tried = job.doubtful() && static_cast<std::size_t>(job.placed()) + claimed + places.size() > 0;
+            if (tried || !quota_.within_limit(s.team, all)) {
                 break;
             }
             while (choice != choices.end() && !takes(*choice)) {
@@ -448,10 +490,10 @@
             offer->empty = false;
             offer->images.push_back(image);
         }
-        claimed += static_cast<int>(places.size());
+        claimed += places.size();
         add_claim(job, {{k, next}}, machines, static_cast<int>(places.size()));
     }
-    return claimed;
+    return static_cast<int>(claimed);
 }
 
 bool Scheduler::claim_gang(Round& round, const Job& job, Wait& w) {
@@ -654,7 +696,7 @@
 // a set time: then others have a turn, and a gang that can't be helped that way keeps nothing idle.
 void Scheduler::hold_for(Round& round, const Job& job) {
     const JobSpec& s = job.spec;
-    if (turn(job) != 0 || !round.held_teams.insert(s.team).second) {
+    if (job.doubtful() || turn(job) != 0 || !round.held_teams.insert(s.team).second) {
         return;
     }
     double& since = held_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
@@ -810,7 +852,7 @@
         if (s.priority <= Priority::normal && !below_guarantee(s.team, s.each)) {
             continue;
         }
-        if (s.tasks > 1 && s.kind == JobKind::gang) {
+        if ((s.tasks > 1 && s.kind == JobKind::gang) || job->doubtful()) {
             continue;
         }
         auto recent = preempted_at_.find(s.uid);
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -27,6 +27,7 @@
 
     // Jobs with tasks to place, in the order in which they are walked.
     std::vector<const Job*> order() const;
+    double waited_s(const std::string& uid) const;
     // Whether a task of the job may ever be on that machine, and in that zone just now.
     bool allowed(const Job& job, const Machine& m) const;
     // What a task needs of its machine, as one word: equal for jobs that fit the same machines.
@@ -99,6 +100,8 @@
     int claim_tasks(const Job& job, const std::vector<Choice>& choices);
     bool claim_gang(Round& round, const Job& job, Wait& w);
     std::size_t turn(const Job& job) const;
+    double dominant(const Resources& amount) const;
+    Resources room_for(const Offer& offer, const JobSpec& spec) const;
     bool local_chance(Round& round, const Job& job) const;
     bool slow_fetch(const Offer& offer, const JobSpec& spec, int image) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
