--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -461,7 +461,8 @@
             // Less than what would fit, if the limit allows only that.
             Resources all = s.each * static_cast<double>(places.size() + 1);
             // Of a doubtful job one task is tried at a time, until one is done.
-            bool tried = job.doubtful() && static_cast<std::size_t>(job.placed()) + claimed + places.size() > 0;
+            bool tried = job.doubtful() &&
+                         static_cast<std::size_t>(job.placed()) + claimed + places.size() > 0;
             if (tried || !quota_.within_limit(s.team, all)) {
                 break;
             }
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -706,7 +706,7 @@
     // Found on the days of the operations: eight tasks of one such job that failed on a machine
     // counted as eight errors, and the machine was returned; each controller learned alone.
     begin(3);
-    w.capacity = 3;
+    w.capacity = 0;
     // Work that keeps all three in use, and room beside it.
     for (int i = 0; i < 3; ++i) {
         auto beside = w.job(3 + i, JobKind::service, 2);
@@ -720,6 +720,7 @@
         starts += c.kind == Command::Kind::start && c.id.uid == "req-000002" ? 1 : 0;
     };
     w.mistaken.insert("req-000002");
+    w.capacity = 100;
     auto bad = w.job(2, JobKind::array, 12);
     w.submit_and_wait(1, bad);
     w.run(60);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -85,8 +85,8 @@
     bool state_down = false;
     bool cloud_down = false;
     std::set<std::string> mistaken;  // jobs that fail wherever they run
-    std::set<int> state_refused;  // nodes that the state service refuses
-    std::set<int> workers_cut;    // nodes that no worker reaches
+    std::set<int> state_refused;     // nodes that the state service refuses
+    std::set<int> workers_cut;       // nodes that no worker reaches
     std::set<std::pair<int, int>> peers_cut;
     double lost_answers = 0;  // probability that an answer of the state service is lost
     double late_txn = 0;      // probability that a transaction is executed late
