--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -105,6 +105,10 @@
 inline constexpr double gang_preempt_s = 30.0;
 
 // --- users --------------------------------------------------------------------------------
+// s a count of a job's running tasks serves polls: a state may lag by 3 s
+inline constexpr double count_every_s = 1.0;
+// s between looks for such counts that nobody asked for again
+inline constexpr double count_prune_s = 10.0;
 // s; what a user is told to wait when the service can't take the request now
 inline constexpr int retry_after_s = 1;
 // s a user's request may wait for the state service: below the users' own 2 s for a poll
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -87,11 +87,21 @@
         return m.room;
     }
     m.room_known = true;
+    m.fetching.clear();
     const MachineType* t = type(m.type);
     if (t == nullptr) {
         m.room = {};
         return m.room;
     }
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        auto status = m.tasks.find({id, on.place->attempt});
+        if (status == m.tasks.end() || status->second.state == TaskState::fetching) {
+            int image = image_number(on.job->spec.image);
+            if (std::find(m.fetching.begin(), m.fetching.end(), image) == m.fetching.end()) {
+                m.fetching.push_back(image);
+            }
+        }
+    }
     m.room = t->size - ctx_.jobs.used_on(m.name);
     for (const auto& [attempt, status] : m.tasks) {
         const Placement* p = ctx_.jobs.placement(attempt.first);
@@ -277,8 +287,22 @@
            !gang_broken(job);
 }
 
+// What is known of a task's end and not written yet.
+const Fleet::Outcome* Fleet::outcome(const Job& job, int task) const {
+    auto pending = outcomes_.find({job.spec.uid, job.block_of(task)});
+    if (pending == outcomes_.end()) {
+        return nullptr;
+    }
+    auto it = pending->second.tasks.find(task);
+    return it == pending->second.tasks.end() ? nullptr : &it->second;
+}
+
 void Fleet::conclude(const TaskId& id, const Outcome& outcome) {
-    Pending& pending = outcomes_[id.uid];
+    const Job* job = ctx_.jobs.find(id.uid);
+    if (job == nullptr) {
+        return;
+    }
+    Pending& pending = outcomes_[{id.uid, job->block_of(id.index)}];
     if (pending.tasks.empty()) {
         pending.since = ctx_.now.steady;
     }
@@ -299,18 +323,17 @@
     o.done = s.why == ExitReason::done;
     o.error = s.why == ExitReason::error || s.why == ExitReason::unknown_task;
     o.why = reason_name(s.why);
-    auto pending = outcomes_.find(s.id.uid);
-    bool known = false;
-    if (pending != outcomes_.end()) {
-        auto it = pending->second.tasks.find(s.id.index);
-        known = it != pending->second.tasks.end() && it->second.attempt == s.attempt;
+    const Job* job = ctx_.jobs.find(s.id.uid);
+    if (job == nullptr) {
+        return;
     }
+    const Outcome* known = outcome(*job, s.id.index);
+    bool again = known != nullptr && known->attempt == s.attempt;
     conclude(s.id, o);
-    if (known) {
+    if (again) {
         return;
     }
-    const Job* job = ctx_.jobs.find(s.id.uid);
-    if (o.done && job != nullptr && job->spec.kind == JobKind::gang) {
+    if (o.done && job->spec.kind == JobKind::gang) {
         // A gang completes together: what one of its tasks reports holds for all of the attempt,
         // and one write tells it.
         job->each_placement([&](int task, const Placement& p) {
@@ -323,7 +346,7 @@
     if (o.done) {
         m.failed_jobs.clear();
     } else if (o.error) {
-        failed(m, job, s.id.uid);
+        failed(m, *job);
     } else if (s.why == ExitReason::no_room || s.why == ExitReason::busy) {
         m.no_claims_until = ctx_.now.steady + constants::job_backoff_s;
     }
@@ -332,9 +355,9 @@
 // A failed task speaks against its machine, until its job has failed elsewhere too. Guards against
 // machines set aside for a job that was submitted with a mistake, however many of its tasks failed
 // there.
-void Fleet::failed(Machine& m, const Job* job, const std::string& uid) {
-    if (job == nullptr || !job->doubtful()) {
-        m.failed_jobs.insert(uid);
+void Fleet::failed(Machine& m, const Job& job) {
+    if (!job.doubtful()) {
+        m.failed_jobs.insert(job.spec.uid);
     }
     if (m.failed_jobs.size() >= constants::machine_errors_max) {
         mark(m, "failing tasks", false);
@@ -403,16 +426,16 @@
 // owner may start the very claim that was found absent. What could not be written by then must
 // never be, however true it was; the next owner sees for itself.
 void Fleet::forget_outcomes(const std::string& machine) {
-    for (auto& [uid, pending] : outcomes_) {
+    for (auto& [key, pending] : outcomes_) {
         std::erase_if(pending.tasks, [&](const auto& t) { return t.second.machine == machine; });
     }
 }
 
-// Whether a job's outcomes should be written now. The record of a block is written whole, so
-// that the ends of several tasks cost one write: they are collected for a while. Nothing waits
-// for them meanwhile: a task that ended leaves its room at once, and the last one here to end
-// writes them all. What must start again, and what a team near its limit gives back, is urgent.
-bool Fleet::due(const Job& job, const Pending& pending) const {
+// Whether a block's outcomes should be written now. Its record is written whole, so that the ends
+// of several tasks cost one write: they are collected for a while. Nothing waits for them
+// meanwhile: a task that ended leaves its room at once, and the last one here to end writes them
+// all. What must start again, and what a team near its limit gives back, is urgent.
+bool Fleet::due(const Job& job, const Block& block, const Pending& pending) const {
     double limit = job.cancelled ? constants::outcome_soon_s : constants::outcome_hold_s;
     if (ctx_.now.steady - pending.since >= limit || job.spec.kind == JobKind::gang) {
         return true;
@@ -427,13 +450,10 @@
         !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
         return true;
     }
-    bool more_here = false;
-    job.each_placement([&](int task, const Placement& p) {
-        auto m = machines_.find(p.machine);
-        more_here = m != machines_.end() && m->second.mine && pending.tasks.count(task) == 0;
-        return !more_here;
+    return std::none_of(block.placed.begin(), block.placed.end(), [&](const auto& t) {
+        auto m = machines_.find(t.second.machine);
+        return m != machines_.end() && m->second.mine && pending.tasks.count(t.first) == 0;
     });
-    return !more_here;
 }
 
 void Fleet::flush() {
@@ -442,112 +462,100 @@
     }
     Txn txn;
     std::vector<std::string> taken;
-    std::vector<std::string> uids;
+    std::vector<std::pair<std::string, int>> written;
     std::size_t room = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
-    for (auto job_it = outcomes_.begin(); job_it != outcomes_.end();) {
-        auto& pending = job_it->second;
+    for (auto it = outcomes_.begin(); it != outcomes_.end();) {
+        const auto& [uid, k] = it->first;
+        auto& pending = it->second;
+        auto& tasks = pending.tasks;
         bool waited = ctx_.now.steady - pending.since >= constants::outcome_soon_s;
         if (!pending.look && !waited) {
-            ++job_it;
+            ++it;
             continue;
         }
-        const Job* job = ctx_.jobs.find(job_it->first);
-        auto& tasks = pending.tasks;
-        // Drop what the records say already.
-        for (auto t = tasks.begin(); t != tasks.end();) {
-            const Placement* p = ctx_.jobs.placement({job_it->first, t->first});
-            bool stale = p == nullptr || p->attempt != t->second.attempt;
-            t = stale ? tasks.erase(t) : std::next(t);
+        const Job* job = ctx_.jobs.find(uid);
+        if (job != nullptr && pending.look) {
+            // Drop what the records say already.
+            const auto& placed = job->block(k).placed;
+            std::erase_if(tasks, [&](const auto& t) {
+                auto p = placed.find(t.first);
+                return p == placed.end() || p->second.attempt != t.second.attempt;
+            });
         }
         if (job == nullptr || tasks.empty()) {
-            job_it = outcomes_.erase(job_it);
+            it = outcomes_.erase(it);
             continue;
         }
         pending.look = false;
-        if (!due(*job, pending)) {
-            ++job_it;
+        const Block& old = job->block(k);
+        if (!due(*job, old, pending)) {
+            ++it;
             continue;
         }
-        struct Told {
-            bool done = false;
-            bool error = false;
-        };
-        std::map<int, Block> changed;
-        std::map<int, Told> told;
-        bool busy = false;
+        auto key = keys::block(uid, k);
+        if (ctx_.busy.count(key) != 0) {
+            pending.look = true;
+            ++it;
+            continue;
+        }
+        Block next = old;
+        bool some_done = false;
+        bool some_error = false;
         for (const auto& [index, outcome] : tasks) {
-            int k = job->block_of(index);
-            if (ctx_.busy.count(keys::block(job->spec.uid, k)) != 0) {
-                busy = true;
-                continue;
-            }
-            auto it = changed.try_emplace(k, job->block(k)).first;
-            it->second.placed.erase(index);
+            next.placed.erase(index);
             if (outcome.done) {
-                it->second.add_done(index);
+                next.add_done(index);
             }
-            Told& t = told[k];
-            t.done = t.done || outcome.done;
-            t.error = t.error || outcome.error;
-        }
-        for (const auto& [k, t] : told) {
-            int& fails = changed.at(k).fails;
-            fails = t.done ? 0 : fails + (t.error ? 1 : 0);
+            some_done = some_done || outcome.done;
+            some_error = some_error || outcome.error;
         }
-        int done = job->done();
-        for (const auto& [k, b] : changed) {
-            done += b.done_count() - job->block(k).done_count();
+        next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
+        int done = job->done() + next.done_count() - old.done_count();
+        bool completes = done == job->spec.tasks && !job->cancelled;
+        // Else finish_jobs does it once the blocks are written.
+        completes = completes && 2 + job->blocks.size() <= room;
+        for (const auto& [other, b] : job->blocks) {
+            completes = completes && ctx_.busy.count(keys::block(uid, other)) == 0;
         }
-        bool completes = !busy && done == job->spec.tasks && !job->cancelled;
-        std::size_t ops = completes ? 2 + job->blocks.size() : changed.size();
-        if (completes && ops > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
-            completes = false;  // finish_jobs does it once the blocks are written
-            ops = changed.size();
-        }
-        pending.look = busy;
-        if (changed.empty() || txn.writes.size() + ops > room) {
+        if (txn.writes.size() + (completes ? 2 + job->blocks.size() : 1) > room) {
             pending.look = true;
-            ++job_it;
+            ++it;
             continue;
         }
-        uids.push_back(job_it->first);
+        written.push_back(it->first);
         if (completes) {
-            txn.conditions.push_back({keys::job(job->spec.uid), job->revision});
-            for (const auto& [k, b] : job->blocks) {
-                auto key = keys::block(job->spec.uid, k);
-                txn.conditions.push_back({key, b.revision});
-                txn.writes.push_back({key, std::nullopt});
-                taken.push_back(key);
+            txn.conditions.push_back({keys::job(uid), job->revision});
+            for (const auto& [other, b] : job->blocks) {
+                auto other_key = keys::block(uid, other);
+                txn.conditions.push_back({other_key, b.revision});
+                txn.writes.push_back({other_key, std::nullopt});
+                taken.push_back(other_key);
             }
-            txn.writes.push_back({keys::job(job->spec.uid), std::nullopt});
-            txn.writes.push_back(
-                {keys::finished(job->spec.uid), encode(Finished{false, job->spec.tasks})});
+            txn.writes.push_back({keys::job(uid), std::nullopt});
+            txn.writes.push_back({keys::finished(uid), encode(Finished{false, job->spec.tasks})});
         } else {
-            for (const auto& [k, b] : changed) {
-                auto key = keys::block(job->spec.uid, k);
-                txn.conditions.push_back({key, job->block(k).revision});
-                txn.writes.push_back({key, encode(b)});
-                taken.push_back(key);
-            }
+            txn.conditions.push_back({key, old.revision});
+            txn.writes.push_back({key, encode(next)});
+            taken.push_back(key);
         }
-        ++job_it;
+        for (const auto& each : taken) {
+            ctx_.busy.insert(each);
+        }
+        ++it;
     }
     if (txn.writes.empty()) {
         return;
     }
     txn.conditions.push_back(ctx_.epoch_condition());
-    for (const auto& key : taken) {
-        ctx_.busy.insert(key);
-    }
-    ctx_.txn(txn, [this, taken, uids](const StateReply& r) {
+    ctx_.txn(txn, [this, taken, written](const StateReply& r) {
         // Refused or unknown: the next tick tries again. If the first one is executed late, its
         // conditions fail or it says the same.
-        ctx_.when_settled(r, [this, taken, uids] {
+        ctx_.when_settled(r, [this, taken, written] {
             for (const auto& key : taken) {
                 ctx_.busy.erase(key);
             }
-            for (const auto& uid : uids) {
-                if (auto it = outcomes_.find(uid); it != outcomes_.end()) {
+            for (const auto& key : written) {
+                if (auto it = outcomes_.find(key); it != outcomes_.end()) {
                     it->second.look = true;
                 }
             }
@@ -643,9 +651,7 @@
                 continue;
             }
             Attempt attempt{id, p->attempt};
-            auto concluded = outcomes_.find(id.uid);
-            bool ending =
-                concluded != outcomes_.end() && concluded->second.tasks.count(id.index) != 0;
+            bool ending = outcome(*on.job, id.index) != nullptr;
             if (m.tasks.count(attempt) != 0 || live.count(id) != 0 || ending) {
                 continue;
             }
@@ -1046,7 +1052,8 @@
         settle(*m);
     }
     for (const auto& uid : ctx_.jobs.take_touched_jobs()) {
-        if (auto it = outcomes_.find(uid); it != outcomes_.end()) {
+        for (auto it = outcomes_.lower_bound({uid, 0});
+             it != outcomes_.end() && it->first.first == uid; ++it) {
             it->second.look = true;
         }
         const Job* job = ctx_.jobs.find(uid);
@@ -1056,6 +1063,9 @@
         }
         note_arrival(uid, *job);
         note_failures(uid, *job);
+        if (!job->cancelled && !gang_broken(*job)) {
+            continue;  // a job of many thousand tasks changes many times a second
+        }
         job->each_placement([&](int task, const Placement& p) {
             if (Machine* m = find(p.machine)) {
                 stop_unwanted(*m, *job, {uid, task}, p);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -63,6 +63,7 @@
     // room left, counted anew after a change; see Fleet::room
     mutable Resources room;
     mutable bool room_known = false;
+    mutable std::vector<int> fetching;  // images that its tasks wait for, as of then
 
     // as listed by the cloud
     bool listed = false;
@@ -143,7 +144,7 @@
         std::string machine;
         bool error = false;  // the task itself failed
     };
-    // Outcomes of one job's tasks that are not written yet.
+    // Outcomes of one block's tasks that are not written yet.
     struct Pending {
         std::map<int, Outcome> tasks;
         double since = 0;  // of the oldest
@@ -168,9 +169,10 @@
     void send_stop(Machine& m, const Attempt& task, Machine::Stop& s);
     void note_arrival(const std::string& uid, const Job& job);
     void note_failures(const std::string& uid, const Job& job);
-    void failed(Machine& m, const Job* job, const std::string& uid);
+    void failed(Machine& m, const Job& job);
     void forget_outcomes(const std::string& machine);
-    bool due(const Job& job, const Pending& pending) const;
+    bool due(const Job& job, const Block& block, const Pending& pending) const;
+    const Outcome* outcome(const Job& job, int task) const;
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void note_empty(Machine& m) const;
     void sweep();
@@ -183,8 +185,8 @@
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
     mutable std::unordered_map<std::string, int> image_numbers_;
-    std::set<std::string> asking_;             // machines whose report waits for its answer
-    std::map<std::string, Pending> outcomes_;  // by job
+    std::set<std::string> asking_;  // machines whose report waits for its answer
+    std::map<std::pair<std::string, int>, Pending> outcomes_;  // by job and block
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
     // submission time and machines of such jobs
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -86,18 +86,11 @@
     return false;
 }
 
-int Block::done_count() const {
-    int n = 0;
-    for (const auto& [from, to] : done) {
-        n += to - from + 1;
-    }
-    return n;
-}
-
 void Block::add_done(int task) {
     if (is_done(task)) {
         return;
     }
+    ++done_total;
     done.emplace_back(task, task);
     std::sort(done.begin(), done.end());
     std::vector<std::pair<int, int>> joined;
@@ -197,6 +190,7 @@
     }
     for (const auto& range : v.at("done")) {
         block.done.emplace_back(range.at(0).get<int>(), range.at(1).get<int>());
+        block.done_total += block.done.back().second - block.done.back().first + 1;
     }
     block.fails = v.value("fails", 0);
     return block;
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -55,9 +55,10 @@
     std::uint64_t attempt = 0;
     std::map<int, Placement> placed;        // by task number
     std::vector<std::pair<int, int>> done;  // ranges of task numbers, ends included
-    int fails = 0;  // writes in a row that told of errors and of nothing done
+    int fails = 0;       // writes in a row that told of errors and of nothing done
+    int done_total = 0;  // tasks in those ranges
     bool is_done(int task) const;
-    int done_count() const;
+    int done_count() const { return done_total; }
     void add_done(int task);
 };
 
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -16,13 +16,14 @@
     ctx_.out.emplace_back(std::move(r));
 }
 
-void Requests::reply_job(std::uint64_t request, int status, const Job& job, bool counts) {
-    open_.erase(request);
-    UserReply r;
-    r.request = request;
-    r.status = status;
-    r.uid = job.spec.uid;
-    int running = 0;
+// For display only, and counted anew once in a while: a job may have many thousand tasks, and as
+// many polls a second as its users like.
+int Requests::running_tasks(const Job& job) {
+    Count& count = counts_[job.spec.uid];
+    if (ctx_.now.steady < count.until && (count.running > 0) == (job.placed() > 0)) {
+        return count.running;
+    }
+    count = {0, ctx_.now.steady + constants::count_every_s};
     job.each_placement([&](int task, const Placement& p) {
         const Machine* m = fleet_.find(p.machine);
         // What other members' machines do is not known here; a place counts as running.
@@ -30,10 +31,20 @@
         auto t =
             known ? m->tasks.find({{job.spec.uid, task}, p.attempt}) : decltype(m->tasks.end()){};
         if (!known || (t != m->tasks.end() && t->second.state == TaskState::running)) {
-            ++running;
+            ++count.running;
         }
         return true;
     });
+    return count.running;
+}
+
+void Requests::reply_job(std::uint64_t request, int status, const Job& job, bool counts) {
+    open_.erase(request);
+    UserReply r;
+    r.request = request;
+    r.status = status;
+    r.uid = job.spec.uid;
+    int running = running_tasks(job);
     if (job.cancelled) {
         r.state = "cancelled";
     } else {
@@ -354,6 +365,10 @@
 
 void Requests::tick() {
     check();
+    if (ctx_.now.steady >= next_prune_) {
+        next_prune_ = ctx_.now.steady + constants::count_prune_s;
+        std::erase_if(counts_, [&](const auto& c) { return ctx_.now.steady >= c.second.until; });
+    }
     std::vector<std::uint64_t> late;
     for (const auto& [request, w] : open_) {
         if (ctx_.now.steady >= w.until) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -35,6 +35,12 @@
         std::function<void()> fresh;  // runs once the records are known to be current
     };
 
+    struct Count {
+        int running = 0;
+        double until = -1e9;
+    };
+
+    int running_tasks(const Job& job);
     void reply(std::uint64_t request, int status, const std::string& uid, const std::string& state,
                const std::string& error = "");
     void reply_job(std::uint64_t request, int status, const Job& job, bool counts);
@@ -60,7 +66,9 @@
     Fleet& fleet_;
     Quota& quota_;
     std::map<std::uint64_t, Waiting> open_;
-    std::vector<std::uint64_t> queued_;  // for the next read check
+    std::vector<std::uint64_t> queued_;              // for the next read check
+    std::unordered_map<std::string, Count> counts_;  // by job
+    double next_prune_ = 0;
     bool checking_ = false;
     double next_check_ = 0;
     std::unordered_map<std::string, Finished> finished_;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -330,7 +330,7 @@
         }
         bool local = s.image_gb <= 0 || Fleet::has_image(*offer.machine, image) ||
                      std::count(offer.images.begin(), offer.images.end(), image) != 0;
-        bool fetch_waits = !local && slow_fetch(offer, s, image);
+        bool fetch_waits = !local && slow_fetch(offer, image);
         bool cheap = cheap_coming(round, offer, job);
         bool pass = cheap || fetch_waits || (!local && local_chance(round, job)) ||
                     (!gang && better_elsewhere(round, offer, job));
@@ -394,23 +394,15 @@
 
 // Whether the machine is fetching another image already: two fetches share its rate, and both
 // images would be late.
-bool Scheduler::slow_fetch(const Offer& offer, const JobSpec& spec, int image) const {
+bool Scheduler::slow_fetch(const Offer& offer, int image) const {
     for (int other : offer.images) {
         if (other != image) {
             return true;
         }
     }
-    const Machine& m = *offer.machine;
-    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
-        if (on.job->spec.image == spec.image) {
-            continue;
-        }
-        auto t = m.tasks.find({id, on.place->attempt});
-        if (t == m.tasks.end() || t->second.state == TaskState::fetching) {
-            return true;
-        }
-    }
-    return false;
+    fleet_.room(*offer.machine);  // counts what is being fetched as well
+    const auto& fetching = offer.machine->fetching;
+    return std::any_of(fetching.begin(), fetching.end(), [&](int i) { return i != image; });
 }
 
 double Scheduler::longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const {
@@ -428,10 +420,13 @@
     std::size_t machines_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 2;
     std::size_t claimed = 0;
     for (int k = 0; k < job.block_count(); ++k) {
-        if (ctx_.busy.count(keys::block(s.uid, k)) != 0) {
+        const Block& now = job.block(k);
+        int open = job.block_last(k) - job.block_first(k) + 1 - now.done_count();
+        if (open == static_cast<int>(now.placed.size()) ||
+            ctx_.busy.count(keys::block(s.uid, k)) != 0) {
             continue;
         }
-        Block next = job.block(k);
+        Block next = now;
         next.attempt++;
         std::vector<std::pair<int, Offer*>> places;
         std::map<std::string, int> spread;  // by zone, what its rule still allows
@@ -482,6 +477,9 @@
             places.pop_back();
         }
         if (places.empty()) {
+            if (!s.spread) {
+                break;  // no room for one is none for the tasks of the next block
+            }
             continue;
         }
         std::vector<std::string> machines;
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -103,7 +103,7 @@
     double dominant(const Resources& amount) const;
     Resources room_for(const Offer& offer, const JobSpec& spec) const;
     bool local_chance(Round& round, const Job& job) const;
-    bool slow_fetch(const Offer& offer, const JobSpec& spec, int image) const;
+    bool slow_fetch(const Offer& offer, int image) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
     double rank(const Offer& offer, const Job& job) const;
