--- a/src/config/operators.cpp
+++ b/src/config/operators.cpp
@@ -22,6 +22,7 @@
     {"share-timeout-s", &core::Tunables::share_timeout_s, 0, 3600},
     {"headroom-machines", &core::Tunables::headroom_machines, 0, 1000},
     {"idle-return-s", &core::Tunables::idle_return_s, 0, 86400},
+    {"final-states", &core::Tunables::final_states, 0, 100000},
     {"silence-s", &core::Tunables::silence_s, 4, 600},
 };
 
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -18,6 +18,9 @@
     double headroom_machines = 100.0;
     // seconds an empty machine beyond the headroom is kept: a boot costs more than that
     double idle_return_s = 45.0;
+    // final states kept among the watched records before the oldest are moved away: about a
+    // megabyte of memory and four pages to read at a start
+    double final_states = 4000;
     // seconds without a report after which a machine is probed and then fenced; 0: follows report_s
     double silence_s = 0;
 };
@@ -105,6 +108,12 @@
 inline constexpr double gang_preempt_s = 30.0;
 
 // --- users --------------------------------------------------------------------------------
+// records of accepted jobs on their way at the most: jobs that come meanwhile share the next one,
+// and the write limit allows no more in the time of an answer
+inline constexpr std::size_t accepts_open = 2;
+// times a submission is tried again after a conflict, and a cancellation
+inline constexpr int accept_tries = 4;
+inline constexpr int cancel_tries = 8;
 // s a count of a job's running tasks serves polls: a state may lag by 3 s
 inline constexpr double count_every_s = 1.0;
 // s between looks for such counts that nobody asked for again
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -513,26 +513,20 @@
         int done = job->done() + next.done_count() - old.done_count();
         bool completes = done == job->spec.tasks && !job->cancelled;
         // Else finish_jobs does it once the blocks are written.
-        completes = completes && 2 + job->blocks.size() <= room;
+        completes = completes && job->blocks.size() <= room;
         for (const auto& [other, b] : job->blocks) {
             completes = completes && ctx_.busy.count(keys::block(uid, other)) == 0;
         }
-        if (txn.writes.size() + (completes ? 2 + job->blocks.size() : 1) > room) {
+        if (txn.writes.size() + (completes ? job->blocks.size() : 1) > room) {
             pending.look = true;
             ++it;
             continue;
         }
         written.push_back(it->first);
         if (completes) {
-            txn.conditions.push_back({keys::job(uid), job->revision});
-            for (const auto& [other, b] : job->blocks) {
-                auto other_key = keys::block(uid, other);
-                txn.conditions.push_back({other_key, b.revision});
-                txn.writes.push_back({other_key, std::nullopt});
-                taken.push_back(other_key);
+            for (const auto& key : add_final(*job, false, txn)) {
+                taken.push_back(key);
             }
-            txn.writes.push_back({keys::job(uid), std::nullopt});
-            txn.writes.push_back({keys::finished(uid), encode(Finished{false, job->spec.tasks})});
         } else {
             txn.conditions.push_back({key, old.revision});
             txn.writes.push_back({key, encode(next)});
@@ -563,8 +557,33 @@
     });
 }
 
-// Moves jobs that are over to their final record. Blocks that don't fit into the transaction are
-// removed afterwards, by the leading member only.
+// Adds a job's final state to a transaction, and the removal of its other blocks as far as there
+// is room for it; returns their keys. The final state takes the place of the first block: one write
+// for a job of one block, and every copy knows it without a read.
+std::vector<std::string> Fleet::add_final(const Job& job, bool cancelled, Txn& txn) const {
+    const auto& uid = job.spec.uid;
+    for (auto& condition : ctx_.jobs.alive(job)) {
+        txn.conditions.push_back(std::move(condition));
+    }
+    Block last;
+    last.attempt = job.block(0).attempt;
+    last.cancelled_wall = job.block(0).cancelled_wall;
+    last.final = Finished{cancelled, job.spec.tasks};
+    std::vector<std::string> changed = {keys::block(uid, 0)};
+    txn.conditions.push_back({changed.front(), job.block(0).revision});
+    txn.writes.push_back({changed.front(), encode(last)});
+    for (const auto& [k, b] : job.blocks) {
+        if (k != 0 && txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            changed.push_back(keys::block(uid, k));
+            txn.conditions.push_back({changed.back(), b.revision});
+            txn.writes.push_back({changed.back(), std::nullopt});
+        }
+    }
+    return changed;
+}
+
+// Ends the jobs that are over: by their final state, and by removing blocks that outlived them.
+// The leading member's.
 void Fleet::finish_jobs() {
     if (!members_.leading()) {
         return;
@@ -575,29 +594,28 @@
             continue;
         }
         const Job& job = ctx_.jobs.jobs().at(uid);
-        bool over = job.revision != 0;
+        bool busy = std::any_of(job.blocks.begin(), job.blocks.end(), [&, id = uid](const auto& b) {
+            return ctx_.busy.count(keys::block(id, b.first)) != 0;
+        });
+        if (busy) {
+            continue;
+        }
         Txn txn;
         txn.conditions.push_back(ctx_.epoch_condition());
-        if (over) {
-            txn.conditions.push_back({keys::job(uid), job.revision});
-            txn.writes.push_back({keys::job(uid), std::nullopt});
+        if (job.revision != 0 && !job.final) {
             // A cancellation stands even if the last task was done before it could be stopped:
             // its user has been told.
-            txn.writes.push_back(
-                {keys::finished(uid), encode(Finished{job.cancelled, job.spec.tasks})});
-        }
-        bool busy = false;
-        for (const auto& [k, b] : job.blocks) {
-            auto key = keys::block(uid, k);
-            busy = busy || ctx_.busy.count(key) != 0;
-            if (txn.writes.size() < ops) {
-                txn.conditions.push_back({key, b.revision});
-                txn.writes.push_back({key, std::nullopt});
+            add_final(job, job.cancelled, txn);
+        } else {
+            for (const auto& [k, b] : job.blocks) {
+                bool leftover = k != 0 || !job.final;
+                if (leftover && txn.writes.size() < ops) {
+                    auto key = keys::block(uid, k);
+                    txn.conditions.push_back({key, b.revision});
+                    txn.writes.push_back({key, std::nullopt});
+                }
             }
         }
-        if (busy) {
-            continue;
-        }
         finishing_.insert(uid);
         ctx_.txn(txn, [this, uid = uid](const StateReply& r) {
             ctx_.when_settled(r, [this, uid] { finishing_.erase(uid); });
@@ -605,6 +623,79 @@
     }
 }
 
+// Final states stay among the watched records, where every controller has them in memory, until
+// there are many; then the oldest are moved to keys of their own, which are read when somebody
+// asks. That costs two writes a job, at a time that is not the rush in which it ended.
+void Fleet::move_final_states() {
+    auto keep = static_cast<std::size_t>(ctx_.tunables.final_states);
+    if (!members_.leading() || moving_ || ctx_.jobs.finished_count() <= keep ||
+        !members_.in_contact()) {
+        return;
+    }
+    // All of one record at once, so that it is written once: the oldest job says which.
+    std::size_t ops = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+    std::set<std::string> gone;
+    std::map<std::string, Jobs::Listing> changed;  // what is left of the records that list them
+    std::size_t writes = 0;
+    auto add = [&](const std::string& uid) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        auto next = changed;
+        for (const auto& [key, listing] : ctx_.jobs.listings()) {
+            if (listing.count(uid) != 0) {
+                next.try_emplace(key, listing).first->second.erase(uid);
+            }
+        }
+        std::size_t own = job.own_record ? 1 : 0;
+        if (!job.final || job.blocks.size() != 1 || gone.count(uid) != 0 ||
+            writes + 2 + own + next.size() > ops) {
+            return;
+        }
+        writes += 2 + own;
+        changed = std::move(next);
+        gone.insert(uid);
+    };
+    for (const auto& [revision, uid] : ctx_.jobs.final_states()) {
+        if (!gone.empty()) {
+            break;
+        }
+        add(uid);
+    }
+    auto records = changed;
+    for (const auto& [key, left] : records) {
+        for (const auto& uid : left) {
+            add(uid);
+        }
+    }
+    if (gone.empty()) {
+        return;
+    }
+    Txn txn;
+    txn.conditions.push_back(ctx_.epoch_condition());
+    for (const auto& uid : gone) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        auto key = keys::block(uid, 0);
+        txn.conditions.push_back({key, job.final_at});
+        txn.writes.push_back({key, std::nullopt});
+        txn.writes.push_back({keys::finished(uid), encode(*job.final)});
+        if (job.own_record) {
+            txn.writes.push_back({keys::job(uid), std::nullopt});
+        }
+    }
+    for (const auto& [key, left] : changed) {
+        Json jobs = Json::array();
+        for (const auto& uid : left) {
+            const Job& job = ctx_.jobs.jobs().at(uid);
+            jobs.push_back(encode_job(job.spec, job.submitted_wall, job.block_size, 0));
+        }
+        txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
+        auto value = left.empty() ? std::nullopt : std::optional(encode_listing(std::move(jobs)));
+        txn.writes.push_back({key, std::move(value)});
+    }
+    moving_ = true;
+    ctx_.txn(txn,
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { moving_ = false; }); });
+}
+
 // --- answers ------------------------------------------------------------------------------
 
 void Fleet::answer(Machine& m) {
@@ -1098,6 +1189,7 @@
     }
     flush();
     finish_jobs();
+    move_final_states();
     settle_answers();
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -134,6 +134,7 @@
     void flush();
     static bool gang_broken(const Job& job);
     void finish_jobs();
+    void move_final_states();
     void conclude_gone();
 
   private:
@@ -178,6 +179,7 @@
     void sweep();
     void raise_tokens();
     void write_marks();
+    std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
 
     Context& ctx_;
     Membership& members_;
@@ -199,6 +201,7 @@
     double next_sweep_ = 0;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
+    bool moving_ = false;  // final states, to keys of their own
 };
 
 }  // namespace cranemoor::core
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -80,6 +80,18 @@
     }
 }
 
+// Whether something is left to do about a job at its end: to write its final state, or to remove
+// blocks that outlived it.
+bool Jobs::is_over(const Job& job) {
+    if (job.revision == 0) {
+        return true;
+    }
+    if (job.final) {
+        return job.blocks.size() > 1;
+    }
+    return job.complete() || (job.cancelled && job.placed() == 0);
+}
+
 void Jobs::classify(const std::string& uid, Job& job) {
     job.done_total = 0;
     job.placed_total = 0;
@@ -92,7 +104,18 @@
         job.placed_total += static_cast<int>(b.placed.size());
     }
     job.fails = some_well ? 0 : job.fails;
-    bool live = job.revision != 0;
+    auto first = job.blocks.find(0);
+    bool known = first != job.blocks.end();
+    job.cancelled_wall =
+        std::max(job.own_cancelled_wall, known ? first->second.cancelled_wall : 0.0);
+    job.cancelled = job.cancelled_wall > 0;
+    if (known && first->second.final && !job.final) {
+        job.final = first->second.final;
+        job.final_at = first->second.revision;
+        final_.emplace(job.final_at, uid);
+    }
+    bool listed = job.revision != 0;
+    bool live = listed && !job.final;
     auto keep = [&](std::set<std::string>& in, bool member) {
         if (member) {
             in.insert(uid);
@@ -101,7 +124,7 @@
         }
     };
     keep(cancelled_, live && job.cancelled);
-    keep(over_, !live || job.complete() || (job.cancelled && job.placed() == 0));
+    keep(over_, is_over(job));
     if (live && !job.cancelled && job.open() > 0) {
         open_.insert(&job);
     } else {
@@ -112,6 +135,9 @@
 
 void Jobs::erase(const std::string& uid) {
     auto it = jobs_.find(uid);
+    if (it->second.final) {
+        final_.erase({it->second.final_at, uid});
+    }
     open_.erase(&it->second);
     cancelled_.erase(uid);
     over_.erase(uid);
@@ -137,14 +163,13 @@
                 }
             }
         }
-        bool live = job.revision != 0;
+        bool live = job.revision != 0 && !job.final;
         bool is_open = live && !job.cancelled && job.spec.tasks > done + placed;
-        bool is_over = !live || done == job.spec.tasks || (job.cancelled && placed == 0);
         open += is_open ? 1 : 0;
         cancelled += live && job.cancelled ? 1 : 0;
-        over += is_over ? 1 : 0;
+        over += is_over(job) ? 1 : 0;
         if (done != job.done_total || placed != job.placed_total ||
-            is_open != (open_.count(&job) != 0) || is_over != (over_.count(uid) != 0) ||
+            is_open != (open_.count(&job) != 0) || is_over(job) != (over_.count(uid) != 0) ||
             (live && job.cancelled) != (cancelled_.count(uid) != 0)) {
             return false;
         }
@@ -166,6 +191,78 @@
     });
 }
 
+void Jobs::list(const std::string& uid, const Json& value, Revision revision, bool own) {
+    Job& job = jobs_[uid];
+    if (!own && job.own_record) {
+        return;  // a record of its own goes before one that it shares
+    }
+    bool first = job.revision == 0;
+    job.spec = decode_job_spec(value);
+    job.submitted_wall = value.at("submitted").get<double>();
+    job.block_size = value.at("block_size").get<int>();
+    job.own_cancelled_wall = value.at("cancelled").get<double>();
+    job.own_record = own;
+    job.revision = revision;
+    if (first) {
+        for (const auto& [k, b] : job.blocks) {
+            index(job, b, 1);
+        }
+    }
+    classify(uid, job);
+}
+
+// Takes a job out that no record lists any more.
+void Jobs::unlist(const std::string& uid) {
+    auto it = jobs_.find(uid);
+    if (it == jobs_.end() || it->second.own_record || listed_.count(uid) != 0) {
+        return;
+    }
+    Job& job = it->second;
+    for (const auto& [k, b] : job.blocks) {
+        index(job, b, -1);
+    }
+    job.revision = 0;
+    if (job.blocks.empty()) {
+        erase(uid);
+    } else {
+        classify(uid, job);
+    }
+}
+
+void Jobs::put_listing(const std::string& key, const Json& value, Revision revision) {
+    Listing now;
+    Listing& before = listings_[key];
+    for (const auto& each : value.at("jobs")) {
+        auto uid = each.at("uid").get<std::string>();
+        now.insert(uid);
+        if (before.erase(uid) == 0 && ++listed_[uid] == 1) {
+            list(uid, each, revision, false);
+        }
+    }
+    std::swap(now, before);
+    for (const auto& uid : now) {  // listed there no more
+        if (--listed_[uid] == 0) {
+            listed_.erase(uid);
+            unlist(uid);
+        }
+    }
+}
+
+void Jobs::drop_listing(const std::string& key) {
+    put_listing(key, encode_listing(Json::array()), 0);
+    listings_.erase(key);
+}
+
+std::vector<Condition> Jobs::alive(const Job& job) const {
+    if (job.own_record) {
+        return {{keys::job(job.spec.uid), job.revision}};
+    }
+    // A record that is shared changes for other jobs' sake. Its end is told by the final state,
+    // which stands in the job's only block, on which every change is conditional as well, or where
+    // it was moved to.
+    return {{keys::job(job.spec.uid), 0}, {keys::finished(job.spec.uid), 0}};
+}
+
 void Jobs::put(const std::string& key, const Json& value, Revision revision) {
     revisions_[key] = revision;
     if (key == keys::epoch) {
@@ -173,21 +270,9 @@
     } else if (has_prefix(key, "c/m/")) {
         member_keys_[key] = decode_member(value);
     } else if (has_prefix(key, "c/j/")) {
-        auto uid = value.at("uid").get<std::string>();
-        Job& job = jobs_[uid];
-        bool first = job.revision == 0;
-        job.spec = decode_job_spec(value);
-        job.submitted_wall = value.at("submitted").get<double>();
-        job.block_size = value.at("block_size").get<int>();
-        job.cancelled_wall = value.at("cancelled").get<double>();
-        job.cancelled = job.cancelled_wall > 0;
-        job.revision = revision;
-        if (first) {
-            for (const auto& [k, b] : job.blocks) {
-                index(job, b, 1);
-            }
-        }
-        classify(uid, job);
+        list(value.at("uid").get<std::string>(), value, revision, true);
+    } else if (has_prefix(key, "c/a/")) {
+        put_listing(key, value, revision);
     } else if (has_prefix(key, "c/b/")) {
         // c/b/<uid>/<index>
         auto slash = key.rfind('/');
@@ -241,16 +326,12 @@
     } else if (has_prefix(key, "c/j/")) {
         auto it = jobs_.find(key.substr(4));
         if (it != jobs_.end()) {
-            for (const auto& [k, b] : it->second.blocks) {
-                index(it->second, b, -1);
-            }
-            it->second.revision = 0;
-            if (it->second.blocks.empty()) {
-                erase(it->first);
-            } else {
-                classify(it->first, it->second);
-            }
+            it->second.own_record = false;
+            it->second.own_cancelled_wall = 0;
+            unlist(it->first);
         }
+    } else if (has_prefix(key, "c/a/")) {
+        drop_listing(key);
     } else if (has_prefix(key, "c/b/")) {
         auto slash = key.rfind('/');
         auto it = jobs_.find(key.substr(4, slash - 4));
@@ -282,7 +363,13 @@
 
 const Job* Jobs::find(const std::string& uid) const {
     auto it = jobs_.find(uid);
-    return it == jobs_.end() || it->second.revision == 0 ? nullptr : &it->second;
+    bool live = it != jobs_.end() && it->second.revision != 0 && !it->second.final;
+    return live ? &it->second : nullptr;
+}
+
+const Finished* Jobs::finished(const std::string& uid) const {
+    auto it = jobs_.find(uid);
+    return it == jobs_.end() || !it->second.final ? nullptr : &*it->second.final;
 }
 
 const Mark* Jobs::mark(const std::string& machine) const {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -18,11 +18,15 @@
 
 struct Job {
     JobSpec spec;
-    Revision revision = 0;  // 0: blocks arrived before or outlived their job
+    Revision revision = 0;    // of the record that lists it; 0: blocks arrived before it
+    bool own_record = false;  // c/j, else it shares one with others; see Jobs::alive
     double submitted_wall = 0;
     int block_size = 0;
+    double own_cancelled_wall = 0;  // as its own record says
     bool cancelled = false;
     double cancelled_wall = 0;
+    std::optional<Finished> final;
+    Revision final_at = 0;
     std::map<int, Block> blocks;
     // running totals over the blocks, kept by Jobs
     int done_total = 0;
@@ -70,7 +74,18 @@
     const std::optional<Epoch>& epoch() const { return epoch_; }
     const std::map<std::string, Member>& member_keys() const { return member_keys_; }
     const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
+    // A job that is not over, or none.
     const Job* find(const std::string& uid) const;
+    // The final state of a job whose records are still here.
+    const Finished* finished(const std::string& uid) const;
+    std::size_t finished_count() const { return final_.size(); }
+    // What must hold for a change to the work of a job that this copy takes for alive.
+    std::vector<Condition> alive(const Job& job) const;
+    // Records of jobs accepted together, by key.
+    using Listing = std::set<std::string>;
+    const std::map<std::string, Listing>& listings() const { return listings_; }
+    // Jobs that are over and whose records may be moved away, oldest first.
+    const std::set<std::pair<Revision, std::string>>& final_states() const { return final_; }
     const std::map<std::string, Marks>& marks() const { return marks_; }  // by key
     const Mark* mark(const std::string& machine) const;
     const std::map<std::string, Slices>& slices() const { return slices_; }  // by key
@@ -106,8 +121,13 @@
     };
     void remark(const std::set<std::string>& machines);
     void classify(const std::string& uid, Job& job);
+    static bool is_over(const Job& job);
     void erase(const std::string& uid);
 
+    void list(const std::string& uid, const Json& value, Revision revision, bool own);
+    void unlist(const std::string& uid);
+    void put_listing(const std::string& key, const Json& value, Revision revision);
+    void drop_listing(const std::string& key);
     void put(const std::string& key, const Json& value, Revision revision);
     void drop(const std::string& key);
     void index(const Job& job, const Block& block, int sign);
@@ -118,6 +138,9 @@
     std::optional<Epoch> epoch_;
     std::map<std::string, Member> member_keys_;
     std::unordered_map<std::string, Job> jobs_;
+    std::map<std::string, Listing> listings_;
+    std::unordered_map<std::string, int> listed_;       // in how many of them a job is
+    std::set<std::pair<Revision, std::string>> final_;  // by the revision of the final state
     std::map<std::string, Marks> marks_;
     std::unordered_map<std::string, Mark> marked_;  // by machine, over all of its records
     std::map<std::string, Slices> slices_;
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -53,6 +53,9 @@
 std::string block(const std::string& uid, int index) {
     return fmt::format("c/b/{}/{}", safe(uid), index);
 }
+std::string accepted(std::uint64_t member, std::uint64_t number) {
+    return fmt::format("c/a/{}-{}", member, number);
+}
 std::string quota(const std::string& team) {
     return "c/q/" + safe(team);
 }
@@ -177,6 +180,12 @@
     if (block.fails > 0) {
         v["fails"] = block.fails;
     }
+    if (block.cancelled_wall > 0) {
+        v["cancelled"] = block.cancelled_wall;
+    }
+    if (block.final) {
+        v["final"] = encode(*block.final);
+    }
     return v;
 }
 
@@ -193,6 +202,10 @@
         block.done_total += block.done.back().second - block.done.back().first + 1;
     }
     block.fails = v.value("fails", 0);
+    block.cancelled_wall = v.value("cancelled", 0.0);
+    if (v.contains("final")) {
+        block.final = decode_finished(v.at("final"));
+    }
     return block;
 }
 
@@ -264,6 +277,12 @@
     return v;
 }
 
+Json encode_listing(Json jobs) {
+    Json v = Json::object();
+    v["jobs"] = std::move(jobs);
+    return v;
+}
+
 JobSpec decode_job_spec(const Json& v) {
     JobSpec s;
     s.uid = v.at("uid").get<std::string>();
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
 std::string member(const std::string& name);
 std::string job(const std::string& uid);
 std::string block(const std::string& uid, int index);
+// Jobs of one block that were accepted together.
+std::string accepted(std::uint64_t member, std::uint64_t number);
 std::string quota(const std::string& team);
 std::string marks(std::uint64_t member, std::uint64_t number);
 std::string finished(const std::string& uid);
@@ -50,24 +53,26 @@
     std::uint64_t charge = 0;  // id of the member whose quota slice carries it
 };
 
+// The final state of a job, kept for good.
+struct Finished {
+    bool cancelled = false;
+    int tasks = 0;
+};
+
 struct Block {
     Revision revision = 0;  // 0: no record yet
     std::uint64_t attempt = 0;
     std::map<int, Placement> placed;        // by task number
     std::vector<std::pair<int, int>> done;  // ranges of task numbers, ends included
-    int fails = 0;       // writes in a row that told of errors and of nothing done
-    int done_total = 0;  // tasks in those ranges
+    int fails = 0;                  // writes in a row that told of errors and of nothing done
+    double cancelled_wall = 0;      // of a job without a record of its own; 0: it was not
+    std::optional<Finished> final;  // of the whole job, in its first block
+    int done_total = 0;             // tasks in those ranges
     bool is_done(int task) const;
     int done_count() const { return done_total; }
     void add_done(int task);
 };
 
-// The final state of a job, kept for good.
-struct Finished {
-    bool cancelled = false;
-    int tasks = 0;
-};
-
 // Set on a machine before it is returned: nothing new is started on it from then on.
 struct Mark {
     bool fence = false;  // release it whatever still runs there
@@ -100,6 +105,9 @@
 // cancelled_wall: when it was cancelled, 0 if it was not
 Json encode_job(const JobSpec& spec, double submitted_wall, int block_size, double cancelled_wall);
 
+// jobs: as encode_job made them
+Json encode_listing(Json jobs);
+
 Epoch decode_epoch(const Json& value);
 Block decode_block(const Json& value);
 Finished decode_finished(const Json& value);
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -80,6 +80,15 @@
     return open_.count(request) != 0;
 }
 
+// A final state that is in memory: it needs no fresh look, since nothing comes after it.
+const Finished* Requests::known_final(const std::string& uid) const {
+    if (const Finished* f = ctx_.jobs.finished(uid)) {
+        return f;
+    }
+    auto it = finished_.find(uid);
+    return it == finished_.end() ? nullptr : &it->second;
+}
+
 void Requests::remember(const std::string& uid, const Finished& f) {
     if (!finished_.try_emplace(uid, f).second) {
         return;
@@ -143,8 +152,8 @@
 
 void Requests::look_up(std::uint64_t request, const std::string& uid,
                        std::function<void(const Finished*)> then) {
-    if (auto it = finished_.find(uid); it != finished_.end()) {
-        then(&it->second);
+    if (const Finished* f = known_final(uid)) {
+        then(f);
         return;
     }
     StateCall call;
@@ -195,14 +204,18 @@
         busy(request, spec.uid);
         return;
     }
+    if (const Finished* f = known_final(spec.uid)) {
+        reply_finished(request, spec.uid, *f, false);
+        return;
+    }
     std::string why = refusal(spec);
-    if (why.empty() && ctx_.jobs.find(spec.uid) == nullptr && finished_.count(spec.uid) == 0) {
+    if (why.empty() && ctx_.jobs.find(spec.uid) == nullptr && on_way_.count(spec.uid) == 0) {
         open_[request] = {spec.uid, ctx_.now.steady + constants::submit_wait_s, nullptr};
         if (!members_.in_contact() || open_.size() > constants::user_queue_max) {
             busy(request, spec.uid);
             return;
         }
-        accept(request, spec, 3);
+        accept(request, spec, constants::accept_tries);
         return;
     }
     // Known, or to be refused: a job accepted earlier is never told 422.
@@ -217,7 +230,7 @@
             } else if (!why.empty()) {
                 reply(request, 422, spec.uid, "", why);
             } else {
-                accept(request, spec, 3);
+                accept(request, spec, constants::accept_tries);
             }
         });
     });
@@ -244,55 +257,132 @@
     });
 }
 
+int Requests::block_size() const {
+    int fits =
+        static_cast<int>((ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes) /
+                         constants::placement_bytes);
+    return std::max(2, std::min(constants::block_tasks_max, fits) / 2 * 2);
+}
+
 void Requests::accept(std::uint64_t request, const JobSpec& spec, int tries) {
     if (!ctx_.member || tries == 0) {
         busy(request, spec.uid);
         return;
     }
-    int per_block =
-        static_cast<int>((ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes) /
-                         constants::placement_bytes);
-    per_block = std::max(2, std::min(constants::block_tasks_max, per_block) / 2 * 2);
-    Txn txn;
-    txn.conditions = {
-        ctx_.epoch_condition(), {keys::job(spec.uid), 0}, {keys::finished(spec.uid), 0}};
-    txn.writes = {{keys::job(spec.uid), encode_job(spec, ctx_.now.wall, per_block, 0)}};
-    ctx_.txn(txn, [this, request, spec, tries](const StateReply& r) {
-        if (!take(request)) {
+    for (auto& a : accepting_) {
+        if (a.spec.uid == spec.uid) {
+            a.requests.push_back(request);
             return;
         }
-        if (r.status == StateReply::Status::ok) {
-            ctx_.info("job {}: accepted, {} of {} tasks, class {} team {}", spec.uid,
-                      kind_name(spec.kind), spec.tasks, spec.job_class, spec.team);
-            reply(request, 201, spec.uid, "queued");
-            return;
+    }
+    Acceptance a;
+    a.requests = {request};
+    a.spec = spec;
+    a.tries = tries;
+    accepting_.push_back(std::move(a));
+    write_accepted();
+}
+
+// Jobs that come while others are being written share a record: one write accepts them all. A job
+// of several blocks has a record of its own, since claims on its blocks don't see each other.
+void Requests::write_accepted() {
+    while (!accepting_.empty() && accepts_open_ < constants::accepts_open) {
+        std::vector<Acceptance> batch;
+        Txn txn;
+        txn.conditions.push_back(ctx_.epoch_condition());
+        Json jobs = Json::array();
+        std::size_t conditions_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
+        double room = ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes;
+        bool alone = false;
+        while (!accepting_.empty() && !alone) {
+            Acceptance& a = accepting_.front();
+            std::erase_if(a.requests, [&](std::uint64_t r) { return !take(r); });
+            if (a.requests.empty()) {
+                accepting_.pop_front();
+                continue;
+            }
+            const auto& uid = a.spec.uid;
+            alone = a.spec.tasks > block_size();
+            Json value = encode_job(a.spec, ctx_.now.wall, block_size(), 0);
+            room -= static_cast<double>(value.dump().size()) + 1;
+            if (!batch.empty() &&
+                (alone || room < 0 || txn.conditions.size() + 3 > conditions_max)) {
+                break;
+            }
+            // Neither known in any form nor over: a write that comes late must not revive it.
+            for (const auto& key : {keys::job(uid), keys::block(uid, 0), keys::finished(uid)}) {
+                txn.conditions.push_back({key, 0});
+            }
+            jobs.push_back(std::move(value));
+            batch.push_back(std::move(a));
+            accepting_.pop_front();
         }
-        if (r.status != StateReply::Status::conflict) {
-            busy(request, spec.uid);
+        if (batch.empty()) {
             return;
         }
-        ctx_.when_at(r.revision, [this, request, spec, tries] {
+        if (alone) {
+            txn.writes = {{keys::job(batch.front().spec.uid), jobs.front()}};
+        } else {
+            txn.writes = {
+                {keys::accepted(ctx_.me.id, ++accepted_records_), encode_listing(std::move(jobs))}};
+        }
+        ++accepts_open_;
+        ctx_.txn(std::move(txn), [this, batch = std::move(batch)](const StateReply& r) {
+            --accepts_open_;
+            accepted(batch, r);
+            write_accepted();
+        });
+    }
+}
+
+void Requests::accepted(const std::vector<Acceptance>& batch, const StateReply& r) {
+    for (const auto& a : batch) {
+        const auto& uid = a.spec.uid;
+        if (r.status == StateReply::Status::ok) {
+            // Until the copy shows it, a second submission is looked up afresh.
+            on_way_.insert(uid);
+            ctx_.when_at(r.revision, [this, uid] { on_way_.erase(uid); });
+            ctx_.info("job {}: accepted, {} of {} tasks, class {} team {}", uid,
+                      kind_name(a.spec.kind), a.spec.tasks, a.spec.job_class, a.spec.team);
+        }
+        for (auto request : a.requests) {
             if (!take(request)) {
-                return;
+                continue;
             }
-            if (const Job* job = ctx_.jobs.find(spec.uid)) {
-                reply_job(request, 200, *job, false);
-                return;
+            if (r.status == StateReply::Status::ok) {
+                reply(request, 201, uid, "queued");
+            } else if (r.status != StateReply::Status::conflict) {
+                busy(request, uid);
+            } else {
+                ctx_.when_at(r.revision, [this, request, spec = a.spec, tries = a.tries] {
+                    accept_again(request, spec, tries - 1);
+                });
             }
-            look_up(request, spec.uid, [this, request, spec, tries](const Finished* f) {
-                if (f != nullptr) {
-                    reply_finished(request, spec.uid, *f, false);
-                } else {
-                    accept(request, spec, tries - 1);
-                }
-            });
-        });
+        }
+    }
+}
+
+// After a conflict, which may be another job's of the same record, or the epoch's.
+void Requests::accept_again(std::uint64_t request, const JobSpec& spec, int tries) {
+    if (!take(request)) {
+        return;
+    }
+    if (const Job* job = ctx_.jobs.find(spec.uid)) {
+        reply_job(request, 200, *job, false);
+        return;
+    }
+    look_up(request, spec.uid, [this, request, spec, tries](const Finished* f) {
+        if (f != nullptr) {
+            reply_finished(request, spec.uid, *f, false);
+        } else {
+            accept(request, spec, tries);
+        }
     });
 }
 
 void Requests::poll(std::uint64_t request, const std::string& uid) {
-    if (auto it = finished_.find(uid); it != finished_.end()) {
-        reply_finished(request, uid, it->second, true);
+    if (const Finished* f = known_final(uid)) {
+        reply_finished(request, uid, *f, true);
         return;
     }
     freshly(request, uid, constants::user_wait_s, [this, request, uid] {
@@ -311,12 +401,12 @@
 }
 
 void Requests::cancel(std::uint64_t request, const std::string& uid) {
-    if (auto it = finished_.find(uid); it != finished_.end()) {
-        reply_finished(request, uid, it->second, false);
+    if (const Finished* f = known_final(uid)) {
+        reply_finished(request, uid, *f, false);
         return;
     }
     freshly(request, uid, constants::submit_wait_s,
-            [this, request, uid] { do_cancel(request, uid, 4); });
+            [this, request, uid] { do_cancel(request, uid, constants::cancel_tries); });
 }
 
 void Requests::do_cancel(std::uint64_t request, const std::string& uid, int tries) {
@@ -339,11 +429,20 @@
         busy(request, uid);
         return;
     }
-    // Conditional on the job alone: claims are conditional on it too, so none can follow.
+    // Claims are conditional on the record that is changed here, so that none can follow.
+    double when = std::max(1.0, ctx_.now.wall);
     Txn txn;
-    txn.conditions = {ctx_.epoch_condition(), {keys::job(uid), job->revision}};
-    txn.writes = {{keys::job(uid), encode_job(job->spec, job->submitted_wall, job->block_size,
-                                              std::max(1.0, ctx_.now.wall))}};
+    txn.conditions = ctx_.jobs.alive(*job);
+    txn.conditions.push_back(ctx_.epoch_condition());
+    if (job->own_record) {
+        txn.writes = {
+            {keys::job(uid), encode_job(job->spec, job->submitted_wall, job->block_size, when)}};
+    } else {
+        Block b = job->block(0);
+        b.cancelled_wall = when;
+        txn.conditions.push_back({keys::block(uid, 0), b.revision});
+        txn.writes = {{keys::block(uid, 0), encode(b)}};
+    }
     ctx_.txn(txn, [this, request, uid, tries](const StateReply& r) {
         if (!take(request)) {
             return;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -2,8 +2,10 @@
 // that may have changed is told without a fresh look at the state service.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,7 +58,18 @@
                  std::function<void(const Finished*)> then);
     void remember(const std::string& uid, const Finished& f);
     std::string refusal(const JobSpec& spec) const;
+    const Finished* known_final(const std::string& uid) const;
+    // A job on its way into the records, and who asked for it.
+    struct Acceptance {
+        std::vector<std::uint64_t> requests;
+        JobSpec spec;
+        int tries = 0;
+    };
+    int block_size() const;
     void accept(std::uint64_t request, const JobSpec& spec, int tries);
+    void write_accepted();
+    void accepted(const std::vector<Acceptance>& batch, const StateReply& reply);
+    void accept_again(std::uint64_t request, const JobSpec& spec, int tries);
     void do_cancel(std::uint64_t request, const std::string& uid, int tries);
     // Removes a request from the waiting ones; false if it was answered already.
     bool take(std::uint64_t request);
@@ -66,7 +79,11 @@
     Fleet& fleet_;
     Quota& quota_;
     std::map<std::uint64_t, Waiting> open_;
-    std::vector<std::uint64_t> queued_;              // for the next read check
+    std::vector<std::uint64_t> queued_;  // for the next read check
+    std::deque<Acceptance> accepting_;
+    std::set<std::string> on_way_;  // accepted here, not yet in the copy
+    std::size_t accepts_open_ = 0;  // records of accepted jobs on their way
+    std::uint64_t accepted_records_ = 0;
     std::unordered_map<std::string, Count> counts_;  // by job
     double next_prune_ = 0;
     bool checking_ = false;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -597,7 +597,9 @@
 void Scheduler::add_claim(const Job& job, const std::map<int, Block>& blocks,
                           const std::vector<std::string>& machines, int tasks) {
     Txn& txn = batch_.txn;
-    txn.conditions.push_back({keys::job(job.spec.uid), job.revision});
+    for (auto& condition : ctx_.jobs.alive(job)) {
+        txn.conditions.push_back(std::move(condition));
+    }
     Claim claim;
     for (const auto& [k, b] : blocks) {
         auto key = keys::block(job.spec.uid, k);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -53,6 +53,7 @@
 
     // --- the story's means
     Settings settings;  // change before start_all()
+    Tunables tunables;  // the same
     double fetch_s = 0.5;
     void start_all();
     void start(int node);
@@ -77,6 +78,9 @@
     Controller& node(int i) { return *nodes_[static_cast<std::size_t>(i)].core; }
     bool alive(int i) const { return nodes_[static_cast<std::size_t>(i)].core != nullptr; }
     const Json* stored(const std::string& key) const;
+    // Whether the records say so.
+    bool accepted(const std::string& uid) const;
+    bool finished(const std::string& uid) const;
     void store(const std::string& key, const Json& value);
     void drop(const std::string& key);
     int machines_up() const;
