--- a/src/io/budget.hpp
+++ b/src/core/budget.hpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace cranemoor::io {
+namespace cranemoor::core {
 
 class RateBudget {
   public:
@@ -35,4 +35,4 @@
     double last_ = 0;
 };
 
-}  // namespace cranemoor::io
+}  // namespace cranemoor::core
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -59,6 +59,8 @@
 inline constexpr double read_check_every_s = 0.04;
 // fraction of the settings' request limit that one controller may use
 inline constexpr double state_rate_share = 0.5;
+// fraction of it for reading final states that are in no memory
+inline constexpr double look_up_share = 0.1;
 // fraction of the settings' write limit that one controller may use
 inline constexpr double state_write_share = 0.6;
 // s between looks at unused quota slices
@@ -201,6 +203,9 @@
 inline constexpr double cheap_headroom = 0.75;
 // s a type, zone and kind without capacity is left alone
 inline constexpr double no_capacity_s = 12.0;
+// rentals under way at the most: more would only wait for the cloud's rate of calls, and a look
+// made later sees more jobs and asks for more machines in each
+inline constexpr std::size_t rentals_open = 4;
 // machines asked for in one rental at the most, the cloud's own maximum
 inline constexpr int rental_max = 50;
 // machines of one type, zone and kind asked for in one look: what the rate of calls allows in
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -306,6 +306,9 @@
 }
 
 void Provisioner::rent() {
+    if (rentals_.size() >= constants::rentals_open) {
+        return;
+    }
     auto free = bins();
     std::map<std::string, int> load;
     for (const auto& b : free) {
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -156,6 +156,13 @@
         then(f);
         return;
     }
+    // Guards against users who ask for what nobody submitted, many times a second: their reads
+    // must not crowd out leases, claims and submissions.
+    if (!look_ups_.has(ctx_.now.steady, 1)) {
+        busy(request, uid);
+        return;
+    }
+    look_ups_.take(1);
     StateCall call;
     call.kind = StateCall::Kind::get;
     call.key = keys::finished(uid);
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/budget.hpp"
 #include "core/context.hpp"
 #include "core/fleet.hpp"
 #include "core/membership.hpp"
@@ -20,7 +21,12 @@
 class Requests {
   public:
     Requests(Context& ctx, Membership& members, Fleet& fleet, Quota& quota)
-        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota) {}
+        : ctx_(ctx),
+          members_(members),
+          fleet_(fleet),
+          quota_(quota),
+          look_ups_(ctx.settings.state_rps * constants::look_up_share,
+                    ctx.settings.state_rps * constants::look_up_share) {}
 
     void submit(std::uint64_t request, const JobSpec& spec);
     // A submission that can't be read; its uid, if that much was clear.
@@ -88,6 +94,7 @@
     double next_prune_ = 0;
     bool checking_ = false;
     double next_check_ = 0;
+    RateBudget look_ups_;  // of jobs that are in no memory
     std::unordered_map<std::string, Finished> finished_;
     std::vector<std::string> finished_order_;
     std::size_t finished_next_ = 0;
--- a/src/io/cloud_client.cpp
+++ b/src/io/cloud_client.cpp
@@ -8,8 +8,8 @@
 namespace {
 constexpr std::size_t connections = 4;
 constexpr std::size_t answer_max = 16UL << 20;  // bytes
-// share of the limit for one controller: the leading one makes most of the calls
-constexpr double share = 0.6;
+// share of the limit for one controller: the leading one makes all calls but a few listings
+constexpr double share = 0.75;
 }  // namespace
 
 CloudClient::CloudClient(Loop& loop, const core::Settings& s, Done done)
--- a/src/io/cloud_client.hpp
+++ b/src/io/cloud_client.hpp
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "core/actions.hpp"
-#include "io/budget.hpp"
+#include "core/budget.hpp"
 #include "io/http_client.hpp"
 
 namespace cranemoor::io {
@@ -22,7 +22,7 @@
     Loop& loop_;
     Done done_;
     HttpClient client_;
-    RateBudget budget_;
+    core::RateBudget budget_;
     std::deque<core::CloudCall> queue_;
     Timer timer_;
 };
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -61,7 +61,7 @@
             pump();
             return;
         }
-        RateBudget& budget = watch ? reopened_ : requests_;
+        core::RateBudget& budget = watch ? reopened_ : requests_;
         bool go = t >= w.not_before && budget.has(t, 1) && (watch || writes_.has(t, writes));
         if (!go) {
             double after = std::max(
--- a/src/io/state_client.hpp
+++ b/src/io/state_client.hpp
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "core/actions.hpp"
-#include "io/budget.hpp"
+#include "core/budget.hpp"
 #include "io/http_client.hpp"
 
 namespace cranemoor::io {
@@ -30,9 +30,9 @@
     Done done_;
     HttpClient calls_;
     HttpClient watches_;
-    RateBudget requests_;
-    RateBudget writes_;
-    RateBudget reopened_;
+    core::RateBudget requests_;
+    core::RateBudget writes_;
+    core::RateBudget reopened_;
     std::deque<Waiting> queue_;
     Timer timer_;
 };
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -241,6 +241,27 @@
     }
 }
 
+TEST_F(Story, UsersWhoAskForWhatNobodySubmittedDoNotCrowdOutOthers) {
+    // Guards against polls many times as often as usual: each unknown uid is a read.
+    w.settings.state_rps = 50;
+    begin();
+    std::vector<std::uint64_t> asked;
+    for (int i = 0; i < 200; ++i) {
+        asked.push_back(w.poll(0, fmt::format("req-{:06}", 900000 + i)));
+    }
+    double before = w.now;
+    EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);
+    int unknown = 0;
+    for (auto request : asked) {
+        int status = w.answer(request).status;
+        EXPECT_TRUE(status == 404 || status == 503);
+        unknown += status == 404 ? 1 : 0;
+    }
+    EXPECT_LT(w.now - before, 1);  // nobody was kept waiting
+    EXPECT_GE(unknown, 5);
+    EXPECT_LE(unknown, 6);
+}
+
 // --- rule 1: epoch ------------------------------------------------------------------------
 
 TEST_F(Three, ARestartedProcessJoinsAsANewMemberInANewEpoch) {
