--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -300,7 +300,7 @@
         Json jobs = Json::array();
         std::size_t conditions_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
         double room = ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes;
-        bool alone = false;
+        bool alone = false;  // the first is a job of several blocks
         while (!accepting_.empty() && !alone) {
             Acceptance& a = accepting_.front();
             std::erase_if(a.requests, [&](std::uint64_t r) { return !take(r); });
@@ -309,13 +309,14 @@
                 continue;
             }
             const auto& uid = a.spec.uid;
-            alone = a.spec.tasks > block_size();
+            bool large = a.spec.tasks > block_size();
             Json value = encode_job(a.spec, ctx_.now.wall, block_size(), 0);
             room -= static_cast<double>(value.dump().size()) + 1;
             if (!batch.empty() &&
-                (alone || room < 0 || txn.conditions.size() + 3 > conditions_max)) {
+                (large || room < 0 || txn.conditions.size() + 3 > conditions_max)) {
                 break;
             }
+            alone = large;
             // Neither known in any form nor over: a write that comes late must not revive it.
             for (const auto& key : {keys::job(uid), keys::block(uid, 0), keys::finished(uid)}) {
                 txn.conditions.push_back({key, 0});
