--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1076,14 +1076,17 @@
     return it == placed_at_.end() ? ctx_.now.steady : it->second;
 }
 
+bool Fleet::takes_whole(const JobSpec& spec) const {
+    Resources two = spec.each * 2;
+    return std::none_of(types_.begin(), types_.end(),
+                        [&](const MachineType& t) { return two.fits_in(t.size); });
+}
+
 void Fleet::note_arrival(const std::string& uid, const Job& job) {
     if (job.submitted_wall < ctx_.now.wall - constants::arrivals_s) {
         return;
     }
-    Resources two = job.spec.each * 2;
-    bool two_fit = std::any_of(types_.begin(), types_.end(),
-                               [&](const MachineType& t) { return two.fits_in(t.size); });
-    if (!two_fit) {
+    if (takes_whole(job.spec)) {
         whole_.try_emplace(uid, job.submitted_wall, job.spec.tasks);
     }
     // Without checkpoints a machine that is taken back costs all the work on it: such jobs
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -108,6 +108,8 @@
     // The same of any member's machine, from what all know.
     bool in_use(const Machine& m) const;
     double longest_boot_s() const;
+    // Whether no machine takes two tasks of that size.
+    bool takes_whole(const JobSpec& spec) const;
     // Answers the open report now, with all commands due.
     void answer(Machine& m);
     // Answers it if there is something to say or nothing to wait for.
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -303,7 +303,8 @@
     const JobSpec& s = job.spec;
     bool gang = s.kind == JobKind::gang && job.done() == 0;
     Wait& w = waits_[s.uid];
-    if (gang && s.tasks > 1) {
+    // A gang of one that takes a whole machine looks for it as larger ones do, among all members'.
+    if (gang && (s.tasks > 1 || fleet_.takes_whole(s))) {
         if (!claim_gang(round, job, w)) {
             hold_for(round, job);
         }
