--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -333,9 +333,12 @@
                      std::count(offer.images.begin(), offer.images.end(), image) != 0;
         bool fetch_waits = !local && slow_fetch(offer, image);
         bool cheap = cheap_coming(round, offer, job);
-        bool pass = cheap || fetch_waits || (!local && local_chance(round, job)) ||
-                    (!gang && better_elsewhere(round, offer, job));
+        bool better = !gang && better_elsewhere(round, offer, job);
+        bool pass = cheap || fetch_waits || better || (!local && local_chance(round, job));
         double most = longest_pass(*offer.machine, s, fetch_waits);
+        if (better) {
+            most = std::max(most, ctx_.tunables.locality_wait_s);
+        }
         if (cheap) {
             most = std::max(most, constants::cheap_pass_s);
         }
@@ -409,9 +412,10 @@
 double Scheduler::longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const {
     const MachineType* t = fleet_.type(m.type);
     double fetch = t != nullptr && t->fetch_gb_per_s > 0 ? spec.image_gb / t->fetch_gb_per_s : 0;
-    double most = fetch_waits ? constants::fetch_pass_s : ctx_.tunables.locality_wait_s;
-    // Waiting longer than the fetch itself takes can't pay, except for a better machine.
-    return fetch_waits ? std::min(most, std::max(fetch, ctx_.tunables.locality_wait_s)) : most;
+    // The wait is lost for sure, what it may save is the fetch, and that is a chance: it pays only
+    // while it is short beside the fetch, except for a better machine.
+    double wait = std::min(ctx_.tunables.locality_wait_s, fetch * constants::wait_share);
+    return fetch_waits ? std::min(constants::fetch_pass_s, std::max(fetch, wait)) : wait;
 }
 
 // Claims as many of the job's tasks as the machines take, in one write for each block.
@@ -568,8 +572,8 @@
         }
         return false;
     }
-    if (best_local < s.tasks && w.level == 0 && w.wait < ctx_.tunables.locality_wait_s &&
-        local_chance(round, job)) {
+    double most = longest_pass(*best.front().second->machine, s, false);
+    if (best_local < s.tasks && w.level == 0 && w.wait < most && local_chance(round, job)) {
         w.skipped = true;
         return true;  // it has room: nothing needs to be held for it
     }
