--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -157,6 +157,10 @@
 // s after which a worker cut off from its controller has found a way round: two timeouts of
 // 4 s, a pause of 1 s after each, and the relay itself
 inline constexpr double relay_detour_s = 12.5;
+// s without any report, and times the mean time between two, after which the way to the workers is
+// taken as cut: reports come at random, so that eight times the mean is one chance in 3,000
+inline constexpr double report_gap_s = 1.0;
+inline constexpr double report_gap_factor = 8;
 // s a relayed report may take
 inline constexpr double relay_timeout_s = 2.5;
 // s a direct command or probe may take
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -195,6 +195,7 @@
         redirect(request, r, owner, relayed);
         return;
     }
+    (relayed ? last_relayed_ : last_direct_) = ctx_.now.steady;
     Machine& m = machines_[r.machine];
     if (m.reported && std::tie(r.session, r.seq) <= std::tie(m.session, m.seq)) {
         // A delayed report: its list of tasks is as old as itself.
@@ -233,9 +234,26 @@
     }
     m.answer_by = ctx_.now.steady + constants::report_hold_s;
     observe(m, true);
+    if (relayed) {
+        // Its peer has few connections for relays and waits less long than an answer is kept open
+        // for: held, they would fail for hundreds of machines whose owner is cut off from them.
+        answer(m);
+        return;
+    }
     settle(m);
 }
 
+// Whether the way between this process and its machines is more likely to be cut than they are to
+// be gone: their reports come by way of others, or none has come for much longer than there should
+// be between any two.
+bool Fleet::cut_from_workers(int mine) const {
+    double t = ctx_.now.steady;
+    double apart = ctx_.settings.report_s * constants::report_spread / std::max(1, mine);
+    double gap = std::max(constants::report_gap_s, apart * constants::report_gap_factor);
+    return mine > constants::silent_few &&
+           (t - last_relayed_ < constants::relay_detour_s || t - last_direct_ > gap);
+}
+
 void Fleet::take_in(Machine& m, const Report& r) {
     bool first = !m.reported;
     m.room_known = false;
@@ -1231,6 +1249,7 @@
             }
         }
     }
+    bool path_cut = cut_from_workers(all.mine);
     // When most machines fall silent at once, this process's own network is the likelier cause;
     // when most of another zone do, that zone is cut off. Inside it work goes on and its images
     // stay: releasing hundreds of healthy machines would cost more than waiting for them.
@@ -1285,10 +1304,12 @@
         } else if (m.reported || placed) {
             double quiet = t - heard;
             double limit = silence;
-            if (all.silent == all.mine) {
+            if (all.silent == all.mine || path_cut) {
                 // Perhaps only the way to it is cut: a worker needs this long to come back by
-                // way of another controller, which relays its reports.
-                limit = std::max(limit, constants::relay_detour_s);
+                // way of another controller, which relays its reports. Guards against the release
+                // of hundreds of healthy machines by a controller that is cut off from them.
+                limit = std::max(limit, constants::relay_detour_s +
+                                            ctx_.settings.report_s * constants::report_spread);
             }
             if (all.suspect()) {
                 limit = ctx_.settings.lease_s + silence;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -179,6 +179,7 @@
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void note_empty(Machine& m) const;
     void sweep();
+    bool cut_from_workers(int mine) const;
     void raise_tokens();
     void write_marks();
     std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
@@ -201,6 +202,8 @@
     std::uint64_t marks_made_ = 0;
     std::set<std::string> cut_zones_;
     double next_sweep_ = 0;
+    double last_direct_ = -1e9;  // report of a machine of ours, from itself
+    double last_relayed_ = -1e9;
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
     bool moving_ = false;  // final states, to keys of their own
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -369,6 +369,32 @@
     }
 }
 
+TEST_F(Three, AnOwnerThatIsCutOffFromItsWorkersAloneReleasesNone) {
+    // Found on an operations day: reports come back by way of the others a moment later than
+    // silence is told, and their answers were kept open longer than the relay waits: 132 healthy
+    // machines were released in ten seconds.
+    w.settings.report_s = 4;
+    begin(3);
+    w.capacity = 0;
+    for (int i = 0; i < 60; ++i) {
+        w.add_machine(fmt::format("vm-5000{:02}", i),
+                      w.settings.zones[static_cast<std::size_t>(i) % 3]);
+    }
+    auto large = w.job(1, JobKind::service, 60);
+    large.each = {40, 5, 300};  // one to a machine
+    w.submit_and_wait(0, large);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 60; }, 60));
+    int up = w.machines_up();
+    w.workers_cut.insert(0);
+    w.run(45);
+    w.workers_cut.clear();
+    w.run(20);
+    EXPECT_EQ(w.machines_up(), up);
+    for (const auto& [name, m] : w.machines) {
+        EXPECT_EQ(m.session, 1U) << name;
+    }
+}
+
 TEST_F(Story, ANodeThatIsNoMemberAnswersWorkersWith503) {
     w.state_down = true;
     w.start_all();
