--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -93,6 +93,9 @@
 inline constexpr double slice_grain = 1.0 / 16;
 // share of an image's fetch that a job waits at the most for a machine that has it
 inline constexpr double wait_share = 0.25;
+// s within which jobs of a team count as having come together: a rush lasts about that long, and
+// nobody is overtaken by more
+inline constexpr double together_s = 10.0;
 // s a job lets a machine pass that is busy fetching another image; most machines come up within
 // that time of each other
 inline constexpr double fetch_pass_s = 10.0;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -81,7 +81,12 @@
         if (x.home != y.home) {
             return x.home;
         }
-        return std::tie(x.job->submitted_wall, a.uid) < std::tie(y.job->submitted_wall, b.uid);
+        // Of those that came together, jobs with one image follow each other, so that they fill
+        // the same machines: images fetched side by side share the rate, and all are late.
+        double a_came = std::floor(x.job->submitted_wall / constants::together_s);
+        double b_came = std::floor(y.job->submitted_wall / constants::together_s);
+        return std::tie(a_came, a.image, x.job->submitted_wall, a.uid) <
+               std::tie(b_came, b.image, y.job->submitted_wall, b.uid);
     });
     std::vector<const Job*> jobs;
     jobs.reserve(list.size());
