--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -350,8 +350,9 @@
             // Until the copy shows it, a second submission is looked up afresh.
             on_way_.insert(uid);
             ctx_.when_at(r.revision, [this, uid] { on_way_.erase(uid); });
-            ctx_.info("job {}: accepted, {} of {} tasks, class {} team {}", uid,
-                      kind_name(a.spec.kind), a.spec.tasks, a.spec.job_class, a.spec.team);
+            ctx_.info("job {}: accepted, {} of {} tasks, class {} team {} image {}", uid,
+                      kind_name(a.spec.kind), a.spec.tasks, a.spec.job_class, a.spec.team,
+                      a.spec.image);
         }
         for (auto request : a.requests) {
             if (!take(request)) {
