--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -55,7 +55,10 @@
             list.push_back({job, team, turn(*job) == 0, leftover});
         }
     }
-    std::sort(list.begin(), list.end(), [](const Entry& x, const Entry& y) {
+    // In a rush claims wait for the write limit, and the order decides about many seconds: within
+    // their guarantees, what must stay up then goes before what must be complete.
+    bool rush = blocks_open_ >= constants::claim_blocks;
+    std::sort(list.begin(), list.end(), [rush](const Entry& x, const Entry& y) {
         const JobSpec& a = x.job->spec;
         const JobSpec& b = y.job->spec;
         if (x.leftover != y.leftover) {
@@ -65,6 +68,11 @@
             if (x.team->below != y.team->below) {
                 return x.team->below;
             }
+            bool a_up = a.priority == Priority::production;
+            bool b_up = b.priority == Priority::production;
+            if (rush && x.team->below && a_up != b_up) {
+                return a_up;
+            }
             if (x.team->below && x.team->deficit != y.team->deficit) {
                 return x.team->deficit > y.team->deficit;
             }
