--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -334,7 +334,7 @@
             continue;
         }
         // Idle work has cheap machines rented for it, ordinary ones only if it may not use others.
-        bool idle_work = s.priority == Priority::best_effort && s.spot;
+        bool idle_work = Scheduler::idle_work(s);
         std::optional<std::string> only = s.zone;
         std::map<std::string, int> in_zone;
         job->each_placement([&](int, const Placement& p) {
@@ -351,8 +351,10 @@
         auto fits = [&](const Bin& b) {
             bool type_ok =
                 !s.types || std::find(s.types->begin(), s.types->end(), b.type) != s.types->end();
+            const MachineType* t = fleet_.type(b.type);
+            bool scraps = idle_work && !b.spot && s.each.gpus <= 0 && t != nullptr;
             return type_ok && (!b.spot || s.spot) && (!cheap || b.spot || !b.empty) &&
-                   s.each.fits_in(b.room);
+                   s.each.fits_in(scraps ? Scheduler::leftover(*t, b.room) : b.room);
         };
         auto next = [&](const std::string& zone, std::size_t from) {
             while (from < free.size() && (free[from].zone != zone || !fits(free[from]))) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -113,23 +113,30 @@
     return std::max(part(amount.gpus, size.gpus), part(amount.cpus, size.cpus));
 }
 
-// What of an offer's room a job may use. Idle work that may use cheap machines gets only what is
-// left over on ordinary ones: never an empty one, and no CPUs that the free GPUs may need.
+bool Scheduler::idle_work(const JobSpec& s) {
+    return s.priority == Priority::best_effort && s.spot;
+}
+
+// What is left over on an ordinary machine for work without GPUs: no CPUs that free GPUs may need.
+Resources Scheduler::leftover(const MachineType& t, Resources room) {
+    if (t.size.gpus > 0) {
+        room.cpus -= room.gpus * t.size.cpus / t.size.gpus;
+        room.memory_gb -= room.gpus * t.size.memory_gb / t.size.gpus;
+    }
+    return room;
+}
+
+// What of an offer's room a job may use. Idle work gets only what is left over, except on cheap
+// machines: never an empty ordinary one.
 Resources Scheduler::room_for(const Offer& offer, const JobSpec& s) const {
-    Resources room = offer.room;
-    const Machine& m = *offer.machine;
-    if (s.priority != Priority::best_effort || !s.spot || m.spot) {
-        return room;
+    if (!idle_work(s) || offer.machine->spot) {
+        return offer.room;
     }
     if (offer.empty) {
         return {};
     }
-    const MachineType* t = fleet_.type(m.type);
-    if (s.each.gpus <= 0 && t != nullptr && t->size.gpus > 0) {
-        room.cpus -= room.gpus * t->size.cpus / t->size.gpus;
-        room.memory_gb -= room.gpus * t->size.memory_gb / t->size.gpus;
-    }
-    return room;
+    const MachineType* t = fleet_.type(offer.machine->type);
+    return s.each.gpus > 0 || t == nullptr ? offer.room : leftover(*t, offer.room);
 }
 
 // This member's place in the order in which members look at a new job. A zone is drawn first, so
@@ -204,6 +211,9 @@
     if (offer.empty && !m.spot) {
         return 3;
     }
+    if (idle_work(job.spec) && !m.spot) {
+        return -1;  // room that costs nothing, on machines that are not taken back
+    }
     const MachineType* t = fleet_.type(m.type);
     double free = t != nullptr && t->size.cpus > 0 ? offer.room.cpus / t->size.cpus : 0;
     // A start on a machine whose report was answered waits for its next one.
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -32,6 +32,9 @@
     bool allowed(const Job& job, const Machine& m) const;
     // What a task needs of its machine, as one word: equal for jobs that fit the same machines.
     static std::string demands(const JobSpec& spec);
+    // Best-effort work that may use cheap machines.
+    static bool idle_work(const JobSpec& spec);
+    static Resources leftover(const MachineType& type, Resources room);
     // How many tasks the spread rule lets the job add in a zone, in one block.
     static int spread_room(const Job& job, int block, const std::string& zone);
 
