--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -386,14 +386,11 @@
 // Failures are counted in the job's blocks, with the ends that are written anyway: every member
 // knows of them, also after a take-over. The pause begins when they are seen.
 void Fleet::note_failures(const std::string& uid, const Job& job) {
-    auto it = failures_.find(uid);
     if (job.fails == 0) {
-        if (it != failures_.end()) {
-            failures_.erase(it);
-        }
+        failures_.erase(uid);
         return;
     }
-    Failures& f = it == failures_.end() ? failures_[uid] : it->second;
+    Failures& f = failures_[uid];
     if (f.count == job.fails) {
         return;
     }
@@ -541,18 +538,15 @@
             continue;
         }
         written.push_back(it->first);
+        std::vector<std::string> changed = {key};
         if (completes) {
-            for (const auto& key : add_final(*job, false, txn)) {
-                taken.push_back(key);
-            }
+            changed = add_final(*job, false, txn);
         } else {
             txn.conditions.push_back({key, old.revision});
             txn.writes.push_back({key, encode(next)});
-            taken.push_back(key);
-        }
-        for (const auto& each : taken) {
-            ctx_.busy.insert(each);
         }
+        ctx_.busy.insert(changed.begin(), changed.end());
+        taken.insert(taken.end(), changed.begin(), changed.end());
         ++it;
     }
     if (txn.writes.empty()) {
@@ -646,7 +640,7 @@
 // asks. That costs two writes a job, at a time that is not the rush in which it ended.
 void Fleet::move_final_states() {
     auto keep = static_cast<std::size_t>(ctx_.tunables.final_states);
-    if (!members_.leading() || moving_ || ctx_.jobs.finished_count() <= keep ||
+    if (!members_.leading() || moving_ || ctx_.jobs.final_states().size() <= keep ||
         !members_.in_contact()) {
         return;
     }
@@ -657,6 +651,9 @@
     std::size_t writes = 0;
     auto add = [&](const std::string& uid) {
         const Job& job = ctx_.jobs.jobs().at(uid);
+        if (!job.final || job.blocks.size() != 1 || gone.count(uid) != 0) {
+            return;
+        }
         auto next = changed;
         for (const auto& [key, listing] : ctx_.jobs.listings()) {
             if (listing.count(uid) != 0) {
@@ -664,8 +661,7 @@
             }
         }
         std::size_t own = job.own_record ? 1 : 0;
-        if (!job.final || job.blocks.size() != 1 || gone.count(uid) != 0 ||
-            writes + 2 + own + next.size() > ops) {
+        if (writes + 2 + own + next.size() > ops) {
             return;
         }
         writes += 2 + own;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -114,8 +114,7 @@
         job.final_at = first->second.revision;
         final_.emplace(job.final_at, uid);
     }
-    bool listed = job.revision != 0;
-    bool live = listed && !job.final;
+    bool live = job.revision != 0 && !job.final;
     auto keep = [&](std::set<std::string>& in, bool member) {
         if (member) {
             in.insert(uid);
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -78,7 +78,6 @@
     const Job* find(const std::string& uid) const;
     // The final state of a job whose records are still here.
     const Finished* finished(const std::string& uid) const;
-    std::size_t finished_count() const { return final_.size(); }
     // What must hold for a change to the work of a job that this copy takes for alive.
     std::vector<Condition> alive(const Job& job) const;
     // Records of jobs accepted together, by key.
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -182,6 +182,23 @@
     });
 }
 
+// Answers with what is known of a job, from the copy and then among the finished; else goes on.
+void Requests::answer_known(std::uint64_t request, const std::string& uid, bool counts,
+                            std::function<void()> otherwise) {
+    if (const Job* job = ctx_.jobs.find(uid)) {
+        reply_job(request, 200, *job, counts);
+        return;
+    }
+    look_up(request, uid,
+            [this, request, uid, counts, otherwise = std::move(otherwise)](const Finished* f) {
+                if (f != nullptr) {
+                    reply_finished(request, uid, *f, counts);
+                } else {
+                    otherwise();
+                }
+            });
+}
+
 std::string Requests::refusal(const JobSpec& s) const {
     const Team* team = quota_.team(s.team);
     if (team == nullptr) {
@@ -227,14 +244,8 @@
     }
     // Known, or to be refused: a job accepted earlier is never told 422.
     freshly(request, spec.uid, constants::submit_wait_s, [this, request, spec, why] {
-        if (const Job* job = ctx_.jobs.find(spec.uid)) {
-            reply_job(request, 200, *job, false);
-            return;
-        }
-        look_up(request, spec.uid, [this, request, spec, why](const Finished* f) {
-            if (f != nullptr) {
-                reply_finished(request, spec.uid, *f, false);
-            } else if (!why.empty()) {
+        answer_known(request, spec.uid, false, [this, request, spec, why] {
+            if (!why.empty()) {
                 reply(request, 422, spec.uid, "", why);
             } else {
                 accept(request, spec, constants::accept_tries);
@@ -250,17 +261,8 @@
         return;
     }
     freshly(request, *uid, constants::submit_wait_s, [this, request, uid = *uid, error] {
-        if (const Job* job = ctx_.jobs.find(uid)) {
-            reply_job(request, 200, *job, false);
-            return;
-        }
-        look_up(request, uid, [this, request, uid, error](const Finished* f) {
-            if (f != nullptr) {
-                reply_finished(request, uid, *f, false);
-            } else {
-                reply(request, 400, uid, "", error);
-            }
-        });
+        answer_known(request, uid, false,
+                     [this, request, uid, error] { reply(request, 400, uid, "", error); });
     });
 }
 
@@ -376,17 +378,8 @@
     if (!take(request)) {
         return;
     }
-    if (const Job* job = ctx_.jobs.find(spec.uid)) {
-        reply_job(request, 200, *job, false);
-        return;
-    }
-    look_up(request, spec.uid, [this, request, spec, tries](const Finished* f) {
-        if (f != nullptr) {
-            reply_finished(request, spec.uid, *f, false);
-        } else {
-            accept(request, spec, tries);
-        }
-    });
+    answer_known(request, spec.uid, false,
+                 [this, request, spec, tries] { accept(request, spec, tries); });
 }
 
 void Requests::poll(std::uint64_t request, const std::string& uid) {
@@ -395,17 +388,8 @@
         return;
     }
     freshly(request, uid, constants::user_wait_s, [this, request, uid] {
-        if (const Job* job = ctx_.jobs.find(uid)) {
-            reply_job(request, 200, *job, true);
-            return;
-        }
-        look_up(request, uid, [this, request, uid](const Finished* f) {
-            if (f != nullptr) {
-                reply_finished(request, uid, *f, true);
-            } else {
-                reply(request, 404, uid, "", "no such job");
-            }
-        });
+        answer_known(request, uid, true,
+                     [this, request, uid] { reply(request, 404, uid, "", "no such job"); });
     });
 }
 
@@ -420,18 +404,9 @@
 
 void Requests::do_cancel(std::uint64_t request, const std::string& uid, int tries) {
     const Job* job = ctx_.jobs.find(uid);
-    if (job == nullptr) {
-        look_up(request, uid, [this, request, uid](const Finished* f) {
-            if (f != nullptr) {
-                reply_finished(request, uid, *f, false);
-            } else {
-                reply(request, 404, uid, "", "no such job");
-            }
-        });
-        return;
-    }
-    if (job->cancelled) {
-        reply_job(request, 200, *job, false);
+    if (job == nullptr || job->cancelled) {
+        answer_known(request, uid, false,
+                     [this, request, uid] { reply(request, 404, uid, "", "no such job"); });
         return;
     }
     if (!ctx_.member || tries == 0) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -62,6 +62,8 @@
     // Looks among the finished jobs, in memory and then in the state service.
     void look_up(std::uint64_t request, const std::string& uid,
                  std::function<void(const Finished*)> then);
+    void answer_known(std::uint64_t request, const std::string& uid, bool counts,
+                      std::function<void()> otherwise);
     void remember(const std::string& uid, const Finished& f);
     std::string refusal(const JobSpec& spec) const;
     const Finished* known_final(const std::string& uid) const;
