--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,6 @@
 #include "config/settings.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
@@ -10,6 +11,10 @@
 
 namespace {
 
+// changes of one transaction without which the service can't work: a final state is moved by
+// writing it, deleting its block, and changing the record that lists its job
+constexpr double txn_ops_least = 3;
+
 std::string slurp(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
     if (!in) {
@@ -42,6 +47,7 @@
         }
         return *v;
     }
+    bool has(const char* key) const { return table_.contains(key); }
     Reader table(const char* key) const {
         const auto* t = table_[key].as_table();
         if (t == nullptr) {
@@ -142,8 +148,19 @@
     Reader st = r.table("state");
     s.state_rps = st.number("rps", 1);
     s.state_write_rps = st.number("write_rps", 1);
-    s.state_value_kb = st.number("value_kb", 1);
-    s.state_txn_ops = static_cast<int>(st.number("txn_ops", 4));
+    s.state_value_kb = s.state_value_kb_today = st.number("value_kb", 1);
+    s.state_txn_ops = static_cast<int>(st.number("txn_ops", txn_ops_least));
+    if (st.has("next")) {
+        // Announced limits come without notice: kept to from the start, they surprise nobody.
+        Reader next = st.table("next");
+        s.state_write_rps =
+            std::min(s.state_write_rps, next.number("write_rps", 1, false, s.state_write_rps));
+        s.state_value_kb =
+            std::min(s.state_value_kb, next.number("value_kb", 1, false, s.state_value_kb));
+        s.state_txn_ops = std::min(
+            s.state_txn_ops,
+            static_cast<int>(next.number("txn_ops", txn_ops_least, false, s.state_txn_ops)));
+    }
     Reader cl = r.table("cloud");
     s.cloud_rps = cl.number("rps", 0.1);
     s.list_lag_s = cl.number("list_lag_s", 0, false);
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -71,13 +71,29 @@
 inline constexpr int list_page = 1000;
 // tasks of one block record at the most; even, so that per-block spread rules add up
 inline constexpr int block_tasks_max = 128;
-// bytes of a value that one placed task may take, rounded up from the longest names seen
-inline constexpr int placement_bytes = 72;
-// bytes of a value kept for a block's other fields
-inline constexpr int block_overhead_bytes = 768;
+// share of the value limit that is used: what the service counts may be spaced out
+inline constexpr double value_share = 0.95;
+// bytes of a value that one placed task takes beside its zone's name: numbers, marks, and a
+// machine's name of twelve letters. Only an estimate for the size of blocks: claims are bounded by
+// what their record really takes.
+inline constexpr int placement_bytes = 40;
+// bytes of a block's record beside its placed and done tasks
+inline constexpr int block_frame_bytes = 160;
+// bytes of a record of marks beside its machines' names
+inline constexpr int marks_frame_bytes = 160;
+// conditions that one more claim may bring to a transaction: two of the job, its record or its
+// page and the block records it is made from, and the quota record
+inline constexpr std::size_t claim_conditions = 6;
 // finished jobs whose final state is kept in memory; the state service keeps all
 inline constexpr std::size_t finished_cache = 20000;
 
+// s between looks at every job that waits for others: news of their ends comes at once, this is for
+// what a lost write or a read left undone
+inline constexpr double dependents_look_s = 1.0;
+// s a list of followed jobs may be there without its job: longer than a submission and any write
+// of it that comes late
+inline constexpr double stray_parts_s = 120.0;
+
 // --- scheduling ---------------------------------------------------------------------------
 // s between rounds: the reports of that time are served together, since every claim is a write
 inline constexpr double round_every_s = 0.2;
--- a/src/core/context.hpp
+++ b/src/core/context.hpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -36,7 +37,27 @@
         StateCall call;
         call.kind = StateCall::Kind::txn;
         call.txn = std::move(txn);
-        state(std::move(call), std::move(done));
+        std::size_t most = 0;
+        std::string key;
+        bool leased = false;
+        for (const auto& w : call.txn.writes) {
+            leased = leased || w.lease != 0;
+            std::size_t size = w.value ? w.value->dump().size() : 0;
+            if (size >= most) {
+                most = size;
+                key = w.key;
+            }
+        }
+        state(std::move(call),
+              [this, most, key, leased, done = std::move(done)](const StateReply& r) {
+                  if (r.status == StateReply::Status::bad && !leased) {
+                      // Not to be repeated as it is. What was larger than the announced limits
+                      // allow says that they are in force.
+                      error("state service refuses a change of {} and others, {} bytes", key, most);
+                      limits_dropped = limits_dropped || most > value_max();
+                  }
+                  done(r);
+              });
     }
     void cloud(CloudCall call, CloudDone done) {
         call.id = ++next_id_;
@@ -98,6 +119,23 @@
         }
     }
 
+    // Bytes that a value may take, under the smaller limit.
+    std::size_t value_max() const { return bytes(settings.state_value_kb); }
+    // The same for records of the version before, as long as the old limit may hold.
+    std::size_t value_max_today() const {
+        return limits_dropped ? value_max() : bytes(settings.state_value_kb_today);
+    }
+    std::size_t ops_max() const { return static_cast<std::size_t>(settings.state_txn_ops); }
+    std::size_t conditions_max() const { return ops_max() * 4; }
+    // Whether every controller has run this version. From then on records are used that the
+    // version before would misread: one that dies before its turn and comes back old holds that
+    // up, and is named here by its settings, not by who happens to be a member.
+    bool upgraded() const {
+        return jobs.upgraded(settings.name) &&
+               std::all_of(settings.peers.begin(), settings.peers.end(),
+                           [this](const Peer& p) { return jobs.upgraded(p.name); });
+    }
+
     Condition epoch_condition() const { return {keys::epoch, jobs.revision_of(keys::epoch)}; }
 
     const Settings settings;
@@ -111,10 +149,19 @@
     Member me;
     bool member = false;
     Token token = 0;
+    // A value that only the old limits allow was refused.
+    bool limits_dropped = false;
+    // Jobs one of whose block records has become too large to be put: see Conversion.
+    std::set<std::string> to_part;
+    // Records of marks that this process made, as part of their keys.
+    std::uint64_t marks_made = 0;
     // Block keys with a write of ours under way: no second one is made until it is known.
     std::set<std::string> busy;
 
   private:
+    static std::size_t bytes(double kb) {
+        return static_cast<std::size_t>(kb * 1024 * constants::value_share);
+    }
     template <typename Map, typename... A>
     static void finish(Map& map, std::uint64_t id, const A&... a) {
         auto it = map.find(id);
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -9,15 +9,19 @@
       fleet_(ctx_, members_, quota_),
       scheduler_(ctx_, members_, fleet_, quota_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
-      requests_(ctx_, members_, fleet_, quota_) {
+      requests_(ctx_, members_, fleet_, quota_),
+      dependencies_(ctx_, members_, fleet_),
+      conversion_(ctx_) {
     members_.on_change = [this](bool epoch_changed, const std::optional<Epoch>& before) {
         if (epoch_changed) {
             fleet_.epoch_changed(before);
             scheduler_.epoch_changed();
             provisioner_.epoch_changed();
         }
+        auto touched = ctx_.jobs.take_touched_jobs();
+        dependencies_.records_changed(touched);
         scheduler_.records_changed();
-        fleet_.records_changed();
+        fleet_.records_changed(touched);
     };
 }
 
@@ -30,6 +34,8 @@
 void Controller::tick(Now now) {
     ctx_.now = now;
     members_.tick();
+    conversion_.tick();
+    dependencies_.tick();
     fleet_.tick();
     scheduler_.tick();
     quota_.tick();
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "core/context.hpp"
+#include "core/conversion.hpp"
+#include "core/dependencies.hpp"
 #include "core/fleet.hpp"
 #include "core/membership.hpp"
 #include "core/provisioner.hpp"
@@ -56,6 +58,8 @@
     Scheduler scheduler_;
     Provisioner provisioner_;
     Requests requests_;
+    Dependencies dependencies_;
+    Conversion conversion_;
 };
 
 }  // namespace cranemoor::core
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -27,6 +27,11 @@
             return "exited";
     }
 }
+
+void append(Txn& txn, Txn more) {
+    std::move(more.conditions.begin(), more.conditions.end(), std::back_inserter(txn.conditions));
+    std::move(more.writes.begin(), more.writes.end(), std::back_inserter(txn.writes));
+}
 }  // namespace
 
 Machine* Fleet::find(const std::string& name) {
@@ -478,7 +483,7 @@
     Txn txn;
     std::vector<std::string> taken;
     std::vector<std::pair<std::string, int>> written;
-    std::size_t room = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+    std::size_t room = ctx_.ops_max();
     for (auto it = outcomes_.begin(); it != outcomes_.end();) {
         const auto& [uid, k] = it->first;
         auto& pending = it->second;
@@ -489,6 +494,9 @@
             continue;
         }
         const Job* job = ctx_.jobs.find(uid);
+        if (job != nullptr && k >= job->block_count()) {
+            job = nullptr;  // numbered as before the job was parted: it will be seen again
+        }
         if (job != nullptr && pending.look) {
             // Drop what the records say already.
             const auto& placed = job->block(k).placed;
@@ -507,7 +515,7 @@
             ++it;
             continue;
         }
-        auto key = keys::block(uid, k);
+        auto key = job->block_key(k);
         if (ctx_.busy.count(key) != 0) {
             pending.look = true;
             ++it;
@@ -528,23 +536,37 @@
         int done = job->done() + next.done_count() - old.done_count();
         bool completes = done == job->spec.tasks && !job->cancelled;
         // Else finish_jobs does it once the blocks are written.
-        completes = completes && job->blocks.size() <= room;
+        std::size_t records = completes ? 1 + job->other_records().size() : 1;
+        completes = completes && records <= room;
         for (const auto& [other, b] : job->blocks) {
-            completes = completes && ctx_.busy.count(keys::block(uid, other)) == 0;
+            completes = completes && ctx_.busy.count(job->block_key(other)) == 0;
         }
-        if (txn.writes.size() + (completes ? job->blocks.size() : 1) > room) {
-            pending.look = true;
-            ++it;
-            continue;
+        if (!completes && bytes_of(next) > ctx_.value_max()) {
+            // Written by the version before, under a larger limit.
+            bool bearable = !ctx_.upgraded() && bytes_of(next) <= ctx_.value_max_today();
+            if (!bearable) {
+                ctx_.to_part.insert(uid);
+                pending.look = true;
+                ++it;
+                continue;
+            }
         }
-        written.push_back(it->first);
+        Txn more;
         std::vector<std::string> changed = {key};
         if (completes) {
-            changed = add_final(*job, false, txn);
+            changed = add_final(*job, false, more);
         } else {
-            txn.conditions.push_back({key, old.revision});
-            txn.writes.push_back({key, encode(next)});
+            job->add_block(k, next, more);
         }
+        // One more condition is the epoch's.
+        if (txn.writes.size() + more.writes.size() > room ||
+            txn.conditions.size() + more.conditions.size() + 1 > ctx_.conditions_max()) {
+            pending.look = true;
+            ++it;
+            continue;
+        }
+        written.push_back(it->first);
+        append(txn, std::move(more));
         ctx_.busy.insert(changed.begin(), changed.end());
         taken.insert(taken.end(), changed.begin(), changed.end());
         ++it;
@@ -577,18 +599,19 @@
     for (auto& condition : ctx_.jobs.alive(job)) {
         txn.conditions.push_back(std::move(condition));
     }
+    const Block& first = job.first_record();
     Block last;
-    last.attempt = job.block(0).attempt;
-    last.cancelled_wall = job.block(0).cancelled_wall;
+    last.attempt = first.attempt;
+    last.cancelled_wall = first.cancelled_wall;
     last.final = Finished{cancelled, job.spec.tasks};
     std::vector<std::string> changed = {keys::block(uid, 0)};
-    txn.conditions.push_back({changed.front(), job.block(0).revision});
+    txn.conditions.push_back({changed.front(), first.revision});
     txn.writes.push_back({changed.front(), encode(last)});
-    for (const auto& [k, b] : job.blocks) {
-        if (k != 0 && txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
-            changed.push_back(keys::block(uid, k));
-            txn.conditions.push_back({changed.back(), b.revision});
-            txn.writes.push_back({changed.back(), std::nullopt});
+    for (const auto& [key, revision] : job.other_records()) {
+        if (txn.writes.size() < ctx_.ops_max()) {
+            changed.push_back(key);
+            txn.conditions.push_back({key, revision});
+            txn.writes.push_back({key, std::nullopt});
         }
     }
     return changed;
@@ -600,14 +623,13 @@
     if (!members_.leading()) {
         return;
     }
-    std::size_t ops = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
     for (const auto& uid : ctx_.jobs.over()) {
         if (finishing_.count(uid) != 0) {
             continue;
         }
         const Job& job = ctx_.jobs.jobs().at(uid);
-        bool busy = std::any_of(job.blocks.begin(), job.blocks.end(), [&, id = uid](const auto& b) {
-            return ctx_.busy.count(keys::block(id, b.first)) != 0;
+        bool busy = std::any_of(job.blocks.begin(), job.blocks.end(), [&](const auto& b) {
+            return ctx_.busy.count(job.block_key(b.first)) != 0;
         });
         if (busy) {
             continue;
@@ -619,11 +641,13 @@
             // its user has been told.
             add_final(job, job.cancelled, txn);
         } else {
-            for (const auto& [k, b] : job.blocks) {
-                bool leftover = k != 0 || !job.final;
-                if (leftover && txn.writes.size() < ops) {
-                    auto key = keys::block(uid, k);
-                    txn.conditions.push_back({key, b.revision});
+            auto left = job.other_records();
+            if (!job.final && job.first_record().revision != 0) {
+                left.emplace_back(keys::block(uid, 0), job.first_record().revision);
+            }
+            for (const auto& [key, at] : left) {
+                if (txn.writes.size() < ctx_.ops_max()) {
+                    txn.conditions.push_back({key, at});
                     txn.writes.push_back({key, std::nullopt});
                 }
             }
@@ -641,22 +665,27 @@
 void Fleet::move_final_states() {
     auto keep = static_cast<std::size_t>(ctx_.tunables.final_states);
     if (!members_.leading() || moving_ || ctx_.jobs.final_states().size() <= keep ||
-        !members_.in_contact()) {
+        !members_.in_contact() || ctx_.now.steady < next_move_) {
         return;
     }
     // All of one record at once, so that it is written once: the oldest job says which.
-    std::size_t ops = static_cast<std::size_t>(ctx_.settings.state_txn_ops);
+    std::size_t ops = ctx_.ops_max();
     std::set<std::string> gone;
     std::map<std::string, Jobs::Listing> changed;  // what is left of the records that list them
+    std::set<std::string> outgrown;  // records that can't be put again with less in them
     std::size_t writes = 0;
     auto add = [&](const std::string& uid) {
         const Job& job = ctx_.jobs.jobs().at(uid);
-        if (!job.final || job.blocks.size() != 1 || gone.count(uid) != 0) {
+        if (!job.final || !job.other_records().empty() || gone.count(uid) != 0) {
             return;
         }
         auto next = changed;
         for (const auto& [key, listing] : ctx_.jobs.listings()) {
             if (listing.count(uid) != 0) {
+                if (ctx_.jobs.listing_bytes(key) > ctx_.value_max()) {
+                    outgrown.insert(key);
+                    return;
+                }
                 next.try_emplace(key, listing).first->second.erase(uid);
             }
         }
@@ -680,11 +709,15 @@
             add(uid);
         }
     }
-    if (gone.empty()) {
-        return;
-    }
     Txn txn;
     txn.conditions.push_back(ctx_.epoch_condition());
+    if (gone.empty()) {
+        retire_listings(outgrown, txn);
+        if (txn.writes.empty()) {
+            next_move_ = ctx_.now.steady + constants::retire_every_s;
+            return;
+        }
+    }
     for (const auto& uid : gone) {
         const Job& job = ctx_.jobs.jobs().at(uid);
         auto key = keys::block(uid, 0);
@@ -699,7 +732,7 @@
         Json jobs = Json::array();
         for (const auto& uid : left) {
             const Job& job = ctx_.jobs.jobs().at(uid);
-            jobs.push_back(encode_job(job.spec, job.submitted_wall, job.block_size, 0));
+            jobs.push_back(encode(job.record()));
         }
         txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
         auto value = left.empty() ? std::nullopt : std::optional(encode_listing(std::move(jobs)));
@@ -710,6 +743,21 @@
              [this](const StateReply& r) { ctx_.when_settled(r, [this] { moving_ = false; }); });
 }
 
+// A record that lists more jobs than can be put again is removed whole, once all of them are over:
+// their final states stand in their blocks, as long as they are not moved away one by one.
+void Fleet::retire_listings(const std::set<std::string>& keys, Txn& txn) const {
+    for (const auto& key : keys) {
+        const auto& listing = ctx_.jobs.listings().at(key);
+        bool over = std::all_of(listing.begin(), listing.end(), [&](const auto& uid) {
+            return ctx_.jobs.finished(uid) != nullptr;
+        });
+        if (over && txn.writes.size() < ctx_.ops_max()) {
+            txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
+            txn.writes.push_back({key, std::nullopt});
+        }
+    }
+}
+
 // --- answers ------------------------------------------------------------------------------
 
 void Fleet::answer(Machine& m) {
@@ -1012,15 +1060,19 @@
         auto next = machines.begin();
         while (next != machines.end()) {
             marks.machines.clear();
-            while (next != machines.end() && marks.machines.size() < constants::release_max) {
+            // Each name stands there twice once its machine is gone.
+            std::size_t bytes = constants::marks_frame_bytes + group.first.size();
+            while (next != machines.end() && marks.machines.size() < constants::release_max &&
+                   (marks.machines.empty() || bytes + mark_bytes(*next) <= ctx_.value_max())) {
+                bytes += mark_bytes(*next);
                 marks.machines.insert(*next);
                 names.insert(*next);
                 ++next;
             }
-            auto key = keys::marks(ctx_.me.id, ++marks_made_);
+            auto key = keys::marks(ctx_.me.id, ++ctx_.marks_made);
             txn.conditions.push_back({key, 0});
             txn.writes.push_back({key, encode(marks)});
-            if (txn.writes.size() >= static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+            if (txn.writes.size() >= ctx_.ops_max()) {
                 send();
             }
         }
@@ -1097,16 +1149,16 @@
 }
 
 void Fleet::note_arrival(const std::string& uid, const Job& job) {
-    if (job.submitted_wall < ctx_.now.wall - constants::arrivals_s) {
+    if (job.waiting || job.came_wall() < ctx_.now.wall - constants::arrivals_s) {
         return;
     }
     if (takes_whole(job.spec)) {
-        whole_.try_emplace(uid, job.submitted_wall, job.spec.tasks);
+        whole_.try_emplace(uid, job.came_wall(), job.spec.tasks);
     }
     // Without checkpoints a machine that is taken back costs all the work on it: such jobs
     // use cheap machines that are there, but none are kept for them.
     if (job.spec.spot && job.spec.checkpoint_s > 0) {
-        cheap_.try_emplace(uid, job.submitted_wall, job.spec.tasks);
+        cheap_.try_emplace(uid, job.came_wall(), job.spec.tasks);
     }
 }
 
@@ -1133,7 +1185,7 @@
     }
 }
 
-void Fleet::records_changed() {
+void Fleet::records_changed(const std::set<std::string>& touched) {
     for (const auto& [id, p] : ctx_.jobs.take_new_placements()) {
         placed_at_[id] = ctx_.now.steady;
         const Job* job = ctx_.jobs.find(id.uid);
@@ -1159,7 +1211,7 @@
         note_empty(*m);
         settle(*m);
     }
-    for (const auto& uid : ctx_.jobs.take_touched_jobs()) {
+    for (const auto& uid : touched) {
         for (auto it = outcomes_.lower_bound({uid, 0});
              it != outcomes_.end() && it->first.first == uid; ++it) {
             it->second.look = true;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -88,7 +88,8 @@
     // A report; relayed ones came over a peer and are never passed on again.
     void report(std::uint64_t request, const Report& report, bool relayed);
     void epoch_changed(const std::optional<Epoch>& before);
-    void records_changed();
+    // touched: jobs that changed
+    void records_changed(const std::set<std::string>& touched);
     void tick();
     void listed(const std::vector<ListedMachine>& machines);
     void set_types(const std::vector<MachineType>& types);
@@ -135,6 +136,7 @@
     // Writes what was observed and is due.
     void flush();
     static bool gang_broken(const Job& job);
+    std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
     void finish_jobs();
     void move_final_states();
     void conclude_gone();
@@ -182,7 +184,7 @@
     bool cut_from_workers(int mine) const;
     void raise_tokens();
     void write_marks();
-    std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
+    void retire_listings(const std::set<std::string>& keys, Txn& txn) const;
 
     Context& ctx_;
     Membership& members_;
@@ -199,7 +201,6 @@
     std::map<std::string, std::pair<double, int>> cheap_;
     std::deque<std::string> to_raise_;  // taken over, their token still to be raised
     std::map<std::pair<std::string, bool>, std::set<std::string>> to_mark_;  // by why and fence
-    std::uint64_t marks_made_ = 0;
     std::set<std::string> cut_zones_;
     double next_sweep_ = 0;
     double last_direct_ = -1e9;  // report of a machine of ours, from itself
@@ -207,6 +208,7 @@
     std::map<std::string, double> redirected_;
     std::set<std::string> finishing_;
     bool moving_ = false;  // final states, to keys of their own
+    double next_move_ = 0;
 };
 
 }  // namespace cranemoor::core
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -9,6 +9,12 @@
 bool has_prefix(const std::string& key, const std::string& prefix) {
     return key.compare(0, prefix.size(), prefix) == 0;
 }
+
+// c/b/<uid>/<index>, and others of that form
+std::pair<std::string, int> parts_of(const std::string& key) {
+    auto slash = key.rfind('/');
+    return {key.substr(4, slash - 4), std::stoi(key.substr(slash + 1))};
+}
 }  // namespace
 
 const Block& Job::block(int index) const {
@@ -27,6 +33,56 @@
     return std::nullopt;
 }
 
+JobRecord Job::record() const {
+    JobRecord r{spec,
+                submitted_wall,
+                page_size > 0 ? record_size : block_size,
+                own_cancelled_wall,
+                page_size,
+                waiting,
+                follow_parts,
+                ready_wall};
+    r.spec.priority = own_priority;
+    return r;
+}
+
+const Block& Job::first_record() const {
+    static const Block none;
+    const auto& records = page_size > 0 ? whole : blocks;
+    auto it = records.find(0);
+    return it == records.end() ? none : it->second;
+}
+
+std::vector<std::pair<std::string, Revision>> Job::other_records() const {
+    std::vector<std::pair<std::string, Revision>> list;
+    for (const auto& [k, b] : page_size > 0 ? whole : blocks) {
+        if (k != 0) {
+            list.emplace_back(keys::block(spec.uid, k), b.revision);
+        }
+    }
+    for (const auto& [k, revision] : pages) {
+        list.emplace_back(keys::page(spec.uid, k), revision);
+    }
+    return list;
+}
+
+std::string Job::block_key(int k) const {
+    return page_size > 0 ? keys::page(spec.uid, k) : keys::block(spec.uid, k);
+}
+
+void Job::add_block(int k, const Block& next, Txn& txn) const {
+    txn.conditions.push_back({block_key(k), block(k).revision});
+    txn.writes.push_back({block_key(k), encode(next)});
+    if (page_size > 0 && pages.count(k) == 0) {
+        // The page is made from the block records as they are known here.
+        for (int r = block_first(k) / record_size; r <= block_last(k) / record_size; ++r) {
+            auto it = whole.find(r);
+            txn.conditions.push_back(
+                {keys::block(spec.uid, r), it == whole.end() ? 0 : it->second.revision});
+        }
+    }
+}
+
 void Jobs::begin_load() {
     *this = Jobs();
 }
@@ -83,11 +139,11 @@
 // Whether something is left to do about a job at its end: to write its final state, or to remove
 // blocks that outlived it.
 bool Jobs::is_over(const Job& job) {
-    if (job.revision == 0) {
+    if (job.revision == 0 && !job.final) {
         return true;
     }
     if (job.final) {
-        return job.blocks.size() > 1;
+        return !job.other_records().empty();
     }
     return job.complete() || (job.cancelled && job.placed() == 0);
 }
@@ -104,14 +160,12 @@
         job.placed_total += static_cast<int>(b.placed.size());
     }
     job.fails = some_well ? 0 : job.fails;
-    auto first = job.blocks.find(0);
-    bool known = first != job.blocks.end();
-    job.cancelled_wall =
-        std::max(job.own_cancelled_wall, known ? first->second.cancelled_wall : 0.0);
+    const Block& first = job.first_record();
+    job.cancelled_wall = std::max(job.own_cancelled_wall, first.cancelled_wall);
     job.cancelled = job.cancelled_wall > 0;
-    if (known && first->second.final && !job.final) {
-        job.final = first->second.final;
-        job.final_at = first->second.revision;
+    if (first.final && !job.final) {
+        job.final = first.final;
+        job.final_at = first.revision;
         final_.emplace(job.final_at, uid);
     }
     bool live = job.revision != 0 && !job.final;
@@ -124,7 +178,7 @@
     };
     keep(cancelled_, live && job.cancelled);
     keep(over_, is_over(job));
-    if (live && !job.cancelled && job.open() > 0) {
+    if (live && !job.cancelled && !job.waiting && job.open() > 0) {
         open_.insert(&job);
     } else {
         open_.erase(&job);
@@ -163,7 +217,7 @@
             }
         }
         bool live = job.revision != 0 && !job.final;
-        bool is_open = live && !job.cancelled && job.spec.tasks > done + placed;
+        bool is_open = live && !job.cancelled && !job.waiting && job.spec.tasks > done + placed;
         open += is_open ? 1 : 0;
         cancelled += live && job.cancelled ? 1 : 0;
         over += is_over(job) ? 1 : 0;
@@ -196,13 +250,33 @@
         return;  // a record of its own goes before one that it shares
     }
     bool first = job.revision == 0;
-    job.spec = decode_job_spec(value);
-    job.submitted_wall = value.at("submitted").get<double>();
-    job.block_size = value.at("block_size").get<int>();
-    job.own_cancelled_wall = value.at("cancelled").get<double>();
+    JobRecord record = decode_job(value);
+    bool parted = record.page_size > 0 && job.page_size == 0;
+    if (parted && !first) {
+        for (const auto& [k, b] : job.blocks) {
+            index(job, b, -1);
+        }
+    }
+    Priority lent =
+        std::max(record.spec.priority, first ? record.spec.priority : job.spec.priority);
+    job.own_priority = record.spec.priority;
+    job.spec = std::move(record.spec);
+    job.spec.priority = lent;
+    job.submitted_wall = record.submitted_wall;
+    job.own_cancelled_wall = record.cancelled_wall;
+    job.waiting = record.waiting;
+    job.follow_parts = record.follow_parts;
+    job.ready_wall = record.ready_wall;
+    job.block_size = record.page_size > 0 ? record.page_size : record.block_size;
+    job.record_size = record.block_size;
+    job.page_size = record.page_size;
     job.own_record = own;
     job.revision = revision;
-    if (first) {
+    gather_follows(uid);
+    if (parted) {
+        job.whole = std::exchange(job.blocks, {});
+        cut(job);
+    } else if (first) {
         for (const auto& [k, b] : job.blocks) {
             index(job, b, 1);
         }
@@ -210,6 +284,119 @@
     classify(uid, job);
 }
 
+void Jobs::gather_follows(const std::string& uid) {
+    auto job = jobs_.find(uid);
+    auto parts = follow_parts_.find(uid);
+    if (job == jobs_.end() || parts == follow_parts_.end() || job->second.follow_parts == 0) {
+        return;
+    }
+    job->second.spec.follows.clear();
+    for (const auto& [n, list] : parts->second) {
+        if (n >= job->second.follow_parts) {
+            break;  // left of an earlier try
+        }
+        auto& all = job->second.spec.follows;
+        all.insert(all.end(), list.begin(), list.end());
+    }
+    touched_jobs_.insert(uid);
+}
+
+void Jobs::lend_priority(const std::string& uid, Priority priority) {
+    if (auto it = jobs_.find(uid); it != jobs_.end()) {
+        it->second.spec.priority = std::max(it->second.own_priority, priority);
+    }
+}
+
+// What is true of a page's tasks while the page is not there: what the block records say.
+void Jobs::cut(Job& job, int k) {
+    Block page;
+    int from = job.block_first(k);
+    int to = job.block_last(k);
+    for (int r = from / job.record_size; r <= to / job.record_size; ++r) {
+        auto it = job.whole.find(r);
+        if (it == job.whole.end()) {
+            continue;
+        }
+        const Block& record = it->second;
+        page.attempt = std::max(page.attempt, record.attempt);
+        page.fails = std::max(page.fails, record.fails);
+        page.placed.insert(record.placed.lower_bound(from), record.placed.upper_bound(to));
+        for (const auto& range : record.done) {
+            int first = std::max(range.first, from);
+            int last = std::min(range.second, to);
+            if (first <= last) {
+                page.done.emplace_back(first, last);
+                page.done_total += last - first + 1;
+            }
+        }
+    }
+    set_block(job, k, std::move(page));
+}
+
+void Jobs::cut(Job& job) {
+    if (job.first_record().final) {
+        return;  // nothing else counts any more
+    }
+    for (int k = 0; k < job.block_count(); ++k) {
+        if (job.pages.count(k) == 0) {
+            cut(job, k);
+        }
+    }
+}
+
+void Jobs::set_block(Job& job, int k, Block next) {
+    auto it = job.blocks.find(k);
+    if (it != job.blocks.end() && job.revision != 0) {
+        index(job, it->second, -1);
+    }
+    for (const auto& [task, p] : next.placed) {
+        const Placement* old = nullptr;
+        if (it != job.blocks.end()) {
+            auto o = it->second.placed.find(task);
+            old = o == it->second.placed.end() ? nullptr : &o->second;
+        }
+        if (old == nullptr || old->attempt != p.attempt) {
+            fresh_.emplace_back(TaskId{job.spec.uid, task}, p);
+        }
+    }
+    job.blocks[k] = std::move(next);
+    if (job.revision != 0) {
+        index(job, job.blocks[k], 1);
+    }
+}
+
+void Jobs::drop_block(Job& job, int k) {
+    auto it = job.blocks.find(k);
+    if (it != job.blocks.end()) {
+        if (job.revision != 0) {
+            index(job, it->second, -1);
+        }
+        job.blocks.erase(it);
+    }
+}
+
+void Jobs::put_record(const std::string& uid, int k, Block next) {
+    Job& job = jobs_[uid];
+    if (job.revision == 0) {
+        job.spec.uid = uid;
+    }
+    if (job.page_size == 0) {
+        set_block(job, k, std::move(next));
+    } else {
+        bool final = next.final.has_value();
+        job.whole[k] = std::move(next);
+        if (final) {
+            // Old places in records still to be removed must not come back to life.
+            while (!job.blocks.empty()) {
+                drop_block(job, job.blocks.begin()->first);
+            }
+        } else {
+            cut(job);
+        }
+    }
+    classify(uid, job);
+}
+
 // Takes a job out that no record lists any more.
 void Jobs::unlist(const std::string& uid) {
     auto it = jobs_.find(uid);
@@ -221,11 +408,7 @@
         index(job, b, -1);
     }
     job.revision = 0;
-    if (job.blocks.empty()) {
-        erase(uid);
-    } else {
-        classify(uid, job);
-    }
+    settle_drop(uid);
 }
 
 void Jobs::put_listing(const std::string& key, const Json& value, Revision revision) {
@@ -250,6 +433,7 @@
 void Jobs::drop_listing(const std::string& key) {
     put_listing(key, encode_listing(Json::array()), 0);
     listings_.erase(key);
+    listing_bytes_.erase(key);
 }
 
 std::vector<Condition> Jobs::alive(const Job& job) const {
@@ -272,36 +456,28 @@
         list(value.at("uid").get<std::string>(), value, revision, true);
     } else if (has_prefix(key, "c/a/")) {
         put_listing(key, value, revision);
+        listing_bytes_[key] = value.dump().size();
     } else if (has_prefix(key, "c/b/")) {
-        // c/b/<uid>/<index>
-        auto slash = key.rfind('/');
-        std::string uid = key.substr(4, slash - 4);
-        int k = std::stoi(key.substr(slash + 1));
+        auto [uid, k] = parts_of(key);
+        Block next = decode_block(value);
+        next.revision = revision;
+        put_record(uid, k, std::move(next));
+    } else if (has_prefix(key, "c/p/")) {
+        auto [uid, k] = parts_of(key);
         Job& job = jobs_[uid];
-        if (job.revision == 0) {
-            job.spec.uid = uid;
-        }
         Block next = decode_block(value);
         next.revision = revision;
-        auto it = job.blocks.find(k);
-        if (it != job.blocks.end() && job.revision != 0) {
-            index(job, it->second, -1);
-        }
-        for (const auto& [task, p] : next.placed) {
-            const Placement* old = nullptr;
-            if (it != job.blocks.end()) {
-                auto o = it->second.placed.find(task);
-                old = o == it->second.placed.end() ? nullptr : &o->second;
-            }
-            if (old == nullptr || old->attempt != p.attempt) {
-                fresh_.emplace_back(TaskId{uid, task}, p);
-            }
-        }
-        job.blocks[k] = std::move(next);
-        if (job.revision != 0) {
-            index(job, job.blocks[k], 1);
+        job.pages[k] = revision;
+        if (!job.first_record().final) {
+            set_block(job, k, std::move(next));
         }
         classify(uid, job);
+    } else if (has_prefix(key, "c/l/")) {
+        auto [uid, part] = parts_of(key);
+        follow_parts_[uid][part] = decode_follows(value);
+        gather_follows(uid);
+    } else if (has_prefix(key, "c/v/")) {
+        versions_.insert(key);
     } else if (has_prefix(key, "c/q/")) {
         Slices s = decode_slices(value);
         s.revision = revision;
@@ -332,22 +508,37 @@
     } else if (has_prefix(key, "c/a/")) {
         drop_listing(key);
     } else if (has_prefix(key, "c/b/")) {
-        auto slash = key.rfind('/');
-        auto it = jobs_.find(key.substr(4, slash - 4));
+        auto [uid, k] = parts_of(key);
+        auto it = jobs_.find(uid);
         if (it != jobs_.end()) {
-            auto b = it->second.blocks.find(std::stoi(key.substr(slash + 1)));
-            if (b != it->second.blocks.end()) {
-                if (it->second.revision != 0) {
-                    index(it->second, b->second, -1);
-                }
-                it->second.blocks.erase(b);
+            Job& job = it->second;
+            if (job.page_size == 0) {
+                drop_block(job, k);
+            } else if (job.whole.erase(k) != 0) {
+                cut(job);
+            }
+            settle_drop(uid);
+        }
+    } else if (has_prefix(key, "c/p/")) {
+        auto [uid, k] = parts_of(key);
+        auto it = jobs_.find(uid);
+        if (it != jobs_.end() && it->second.pages.erase(k) != 0) {
+            drop_block(it->second, k);
+            if (it->second.revision != 0) {
+                cut(it->second);
             }
-            if (it->second.revision == 0 && it->second.blocks.empty()) {
-                erase(it->first);
-            } else {
-                classify(it->first, it->second);
+            settle_drop(uid);
+        }
+    } else if (has_prefix(key, "c/l/")) {
+        auto [uid, part] = parts_of(key);
+        if (auto it = follow_parts_.find(uid); it != follow_parts_.end()) {
+            it->second.erase(part);
+            if (it->second.empty()) {
+                follow_parts_.erase(it);
             }
         }
+    } else if (has_prefix(key, "c/v/")) {
+        versions_.erase(key);
     } else if (has_prefix(key, "c/q/")) {
         slices_.erase(key);
     } else if (has_prefix(key, "c/x/")) {
@@ -360,6 +551,15 @@
     }
 }
 
+void Jobs::settle_drop(const std::string& uid) {
+    Job& job = jobs_.at(uid);
+    if (job.revision == 0 && job.blocks.empty() && job.whole.empty() && job.pages.empty()) {
+        erase(uid);
+    } else {
+        classify(uid, job);
+    }
+}
+
 const Job* Jobs::find(const std::string& uid) const {
     auto it = jobs_.find(uid);
     bool live = it != jobs_.end() && it->second.revision != 0 && !it->second.final;
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -21,8 +21,19 @@
     Revision revision = 0;    // of the record that lists it; 0: blocks arrived before it
     bool own_record = false;  // c/j, else it shares one with others; see Jobs::alive
     double submitted_wall = 0;
-    int block_size = 0;
+    int block_size = 0;             // tasks of a block, or of a page
     double own_cancelled_wall = 0;  // as its own record says
+    // spec has the highest priority of those that need it, if that is higher than its own.
+    Priority own_priority = Priority::normal;
+    bool waiting = false;  // for jobs that it follows
+    int follow_parts = 0;
+    double ready_wall = 0;
+    // Of a job with pages: its block records, which stay as they are, and the revisions of the
+    // pages that are there. blocks then holds what is true of each page's tasks.
+    int page_size = 0;
+    int record_size = 0;
+    std::map<int, Block> whole;
+    std::map<int, Revision> pages;
     bool cancelled = false;
     double cancelled_wall = 0;
     std::optional<Finished> final;
@@ -34,6 +45,11 @@
     int fails = 0;  // the most of any block
 
     int block_count() const { return (spec.tasks + block_size - 1) / block_size; }
+    // Block records, whose pages share the rules of placement.
+    int record_count() const {
+        int size = page_size > 0 ? record_size : block_size;
+        return (spec.tasks + size - 1) / size;
+    }
     int block_of(int task) const { return task / block_size; }
     int block_first(int block) const { return block * block_size; }
     int block_last(int block) const { return std::min(spec.tasks, (block + 1) * block_size) - 1; }
@@ -41,6 +57,16 @@
     int done() const { return done_total; }
     int placed() const { return placed_total; }
     bool complete() const { return done() == spec.tasks; }
+    // Since when it may run, which is what it is as old as.
+    double came_wall() const { return ready_wall > 0 ? ready_wall : submitted_wall; }
+    JobRecord record() const;
+    // The record that holds the final state, and others, as key and revision.
+    const Block& first_record() const;
+    std::vector<std::pair<std::string, Revision>> other_records() const;
+    // The record that a change of a block is written to.
+    std::string block_key(int block) const;
+    // Adds the change of a block to a transaction.
+    void add_block(int block, const Block& next, Txn& txn) const;
     // Failed again after another try: its user's mistake is likelier than a second bad machine.
     bool doubtful() const { return fails >= constants::job_fails_doubtful; }
     // Visits all tasks with a place as (task, placement), until the visitor returns false.
@@ -83,6 +109,10 @@
     // Records of jobs accepted together, by key.
     using Listing = std::set<std::string>;
     const std::map<std::string, Listing>& listings() const { return listings_; }
+    std::size_t listing_bytes(const std::string& key) const {
+        auto it = listing_bytes_.find(key);
+        return it == listing_bytes_.end() ? 0 : it->second;
+    }
     // Jobs that are over and whose records may be moved away, oldest first.
     const std::set<std::pair<Revision, std::string>>& final_states() const { return final_; }
     const std::map<std::string, Marks>& marks() const { return marks_; }  // by key
@@ -109,6 +139,15 @@
     const Resources& used_on(const std::string& machine) const;
     // placements that appeared since the last call, for the image estimate
     std::vector<std::pair<TaskId, Placement>> take_new_placements();
+    // Whether the controller of that name has ever run a version with pages and dependent jobs.
+    bool upgraded(const std::string& name) const {
+        return versions_.count(keys::version(name)) != 0;
+    }
+    // Parts of what a job follows, by its uid and their number.
+    using Parts = std::map<int, std::vector<std::string>>;
+    const std::map<std::string, Parts>& follow_parts() const { return follow_parts_; }
+    // Treats a job as having at least that priority.
+    void lend_priority(const std::string& uid, Priority priority);
     // machines whose placements changed, and jobs that changed, since the last call
     std::set<std::string> take_touched_machines() { return std::exchange(touched_machines_, {}); }
     std::set<std::string> take_touched_jobs() { return std::exchange(touched_jobs_, {}); }
@@ -124,6 +163,13 @@
     void erase(const std::string& uid);
 
     void list(const std::string& uid, const Json& value, Revision revision, bool own);
+    void set_block(Job& job, int k, Block next);
+    void drop_block(Job& job, int k);
+    void put_record(const std::string& uid, int k, Block next);
+    void cut(Job& job);
+    void cut(Job& job, int page);
+    void gather_follows(const std::string& uid);
+    void settle_drop(const std::string& uid);
     void unlist(const std::string& uid);
     void put_listing(const std::string& key, const Json& value, Revision revision);
     void drop_listing(const std::string& key);
@@ -138,6 +184,9 @@
     std::map<std::string, Member> member_keys_;
     std::unordered_map<std::string, Job> jobs_;
     std::map<std::string, Listing> listings_;
+    std::unordered_map<std::string, std::size_t> listing_bytes_;
+    std::set<std::string> versions_;
+    std::map<std::string, Parts> follow_parts_;
     std::unordered_map<std::string, int> listed_;       // in how many of them a job is
     std::set<std::pair<Revision, std::string>> final_;  // by the revision of the final state
     std::map<std::string, Marks> marks_;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -169,6 +169,9 @@
     Txn txn;
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}, {key, encode_member(me), lease_}};
+    if (!ctx_.jobs.upgraded(ctx_.settings.name)) {
+        txn.writes.push_back({keys::version(ctx_.settings.name), Json{{"name", me.name}}});
+    }
     ctx_.txn(txn, [this](const StateReply& r) {
         auto again = [this] {
             joining_ = false;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -127,17 +127,27 @@
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, old] : ctx_.jobs.marks()) {
         Marks marks = old;
-        for (const auto& name : names) {
-            if (marks.machines.count(name) != 0) {
+        std::size_t bytes = constants::marks_frame_bytes + old.why.size();
+        for (const auto& name : marks.machines) {
+            bytes += mark_bytes(name);
+            if (names.count(name) != 0) {
                 marks.gone.insert(name);
             }
         }
-        if (marks.gone.size() != old.gone.size() &&
-            txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+        if (marks.gone.size() == old.gone.size() || txn.writes.size() >= ctx_.ops_max()) {
+            continue;
+        }
+        if (bytes <= ctx_.value_max()) {
             txn.conditions.push_back({key, old.revision});
             txn.writes.push_back({key, encode(marks)});
+        } else {
+            add_gone_apart(old, names, txn);
         }
     }
+    if (txn.writes.empty()) {
+        releasing_ = false;
+        return;
+    }
     // Unless it is written, the machines are released again, which does no harm.
     ctx_.txn(txn, [this](const StateReply& r) {
         if (r.status != StateReply::Status::ok) {
@@ -147,6 +157,38 @@
     });
 }
 
+// A record that was written under a larger limit can't be put again with what is gone: that is
+// said by records beside it. A machine is gone if any of its marks says so.
+void Provisioner::add_gone_apart(const Marks& old, const std::set<std::string>& names, Txn& txn) {
+    Marks apart;
+    apart.why = old.why;
+    apart.fence = old.fence;
+    std::size_t bytes = 0;
+    auto put = [&] {
+        if (!apart.machines.empty() && txn.writes.size() < ctx_.ops_max()) {
+            apart.gone = apart.machines;
+            auto key = keys::marks(ctx_.me.id, ++ctx_.marks_made);
+            txn.conditions.push_back({key, 0});
+            txn.writes.push_back({key, encode(apart)});
+        }
+        apart.machines.clear();
+        bytes = constants::marks_frame_bytes + old.why.size();
+    };
+    put();
+    for (const auto& name : names) {
+        const Mark* mark = ctx_.jobs.mark(name);
+        if (old.machines.count(name) == 0 || (mark != nullptr && mark->gone)) {
+            continue;
+        }
+        if (bytes + mark_bytes(name) > ctx_.value_max()) {
+            put();
+        }
+        bytes += mark_bytes(name);
+        apart.machines.insert(name);
+    }
+    put();
+}
+
 void Provisioner::retire_marks() {
     if (retiring_ || ctx_.now.steady < next_retire_) {
         return;
@@ -157,7 +199,15 @@
     Txn txn;
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
-        if (marks.gone.size() < marks.machines.size()) {
+        // Gone as all marks together have it. A record that says so for another one stays as long
+        // as that one.
+        bool settled =
+            std::all_of(marks.machines.begin(), marks.machines.end(), [&](const auto& n) {
+                const Mark* mark = ctx_.jobs.mark(n);
+                bool needed = marks.gone.count(n) != 0 && not_said(key, n);
+                return mark != nullptr && mark->gone && !needed;
+            });
+        if (!settled) {
             continue;
         }
         double since = gone_since_.try_emplace(key, ctx_.now.steady).first->second;
@@ -168,7 +218,7 @@
                 m != nullptr && ctx_.now.steady - m->listed_at < constants::gone_mark_s / 2;
             over = over && !listed && ctx_.jobs.on_machine(name).empty();
         }
-        if (over && txn.writes.size() < static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+        if (over && txn.writes.size() < ctx_.ops_max()) {
             txn.conditions.push_back({key, marks.revision});
             txn.writes.push_back({key, std::nullopt});
         }
@@ -181,6 +231,14 @@
              [this](const StateReply& r) { ctx_.when_settled(r, [this] { retiring_ = false; }); });
 }
 
+// Whether another record of the machine doesn't say itself that it is gone.
+bool Provisioner::not_said(const std::string& key, const std::string& machine) const {
+    return std::any_of(ctx_.jobs.marks().begin(), ctx_.jobs.marks().end(), [&](const auto& m) {
+        return m.first != key && m.second.machines.count(machine) != 0 &&
+               m.second.gone.count(machine) == 0;
+    });
+}
+
 int Provisioner::headroom() const {
     // About as many machines become free as are asked for; what must be kept is the swing, which
     // is large where one job takes many machines.
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -45,6 +45,8 @@
     void list(const std::string& after);
     void release();
     void write_gone(const std::set<std::string>& names);
+    void add_gone_apart(const Marks& old, const std::set<std::string>& names, Txn& txn);
+    bool not_said(const std::string& key, const std::string& machine) const;
     void retire_marks();
     void rent();
     void send(Rental& rental);
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "core/constants.hpp"
+
 namespace cranemoor::core {
 
 namespace {
@@ -56,6 +58,15 @@
 std::string accepted(std::uint64_t member, std::uint64_t number) {
     return fmt::format("c/a/{}-{}", member, number);
 }
+std::string page(const std::string& uid, int index) {
+    return fmt::format("c/p/{}/{}", safe(uid), index);
+}
+std::string follows(const std::string& uid, int part) {
+    return fmt::format("c/l/{}/{}", safe(uid), part);
+}
+std::string version(const std::string& name) {
+    return "c/v/" + safe(name);
+}
 std::string quota(const std::string& team) {
     return "c/q/" + safe(team);
 }
@@ -209,6 +220,23 @@
     return block;
 }
 
+std::size_t bytes_of(int task, const Placement& p) {
+    // "7":["machine","zone",1,2],
+    return fmt::formatted_size("{}{}{}", task, p.attempt, p.charge) + p.machine.size() +
+           p.zone.size() + 13;
+}
+
+std::size_t bytes_of(const Block& block) {
+    std::size_t sum = constants::block_frame_bytes;
+    for (const auto& [task, p] : block.placed) {
+        sum += bytes_of(task, p);
+    }
+    for (const auto& [from, to] : block.done) {
+        sum += fmt::formatted_size("[{},{}],", from, to);
+    }
+    return sum;
+}
+
 Json encode(const Finished& f) {
     return {{"state", f.cancelled ? "cancelled" : "done"}, {"tasks", f.tasks}};
 }
@@ -246,10 +274,11 @@
     return slices;
 }
 
-Json encode_job(const JobSpec& s, double submitted_wall, int block_size, double cancelled_wall) {
+Json encode(const JobRecord& job) {
+    const JobSpec& s = job.spec;
     Json v = {{"uid", s.uid},
               {"class", s.job_class},
-              {"team", s.team},
+              {"team", job.waiting ? "" : s.team},
               {"kind", static_cast<int>(s.kind)},
               {"priority", static_cast<int>(s.priority)},
               {"tasks", s.tasks},
@@ -262,9 +291,9 @@
               {"estimate_s", s.estimate_s},
               {"checkpoint_s", s.checkpoint_s},
               {"save_s", s.save_s},
-              {"submitted", submitted_wall},
-              {"block_size", block_size},
-              {"cancelled", cancelled_wall}};
+              {"submitted", job.submitted_wall},
+              {"block_size", job.block_size},
+              {"cancelled", job.cancelled_wall}};
     if (s.types) {
         v["types"] = *s.types;
     }
@@ -274,6 +303,20 @@
     if (s.deadline_s) {
         v["deadline_s"] = *s.deadline_s;
     }
+    if (job.page_size > 0) {
+        v["page_size"] = job.page_size;
+    }
+    if (job.waiting) {
+        v["of_team"] = s.team;
+        if (job.follow_parts > 0) {
+            v["follow_parts"] = job.follow_parts;
+        } else {
+            v["follows"] = s.follows;
+        }
+    }
+    if (job.ready_wall > 0) {
+        v["ready"] = job.ready_wall;
+    }
     return v;
 }
 
@@ -283,8 +326,17 @@
     return v;
 }
 
-JobSpec decode_job_spec(const Json& v) {
-    JobSpec s;
+Json encode_follows(const std::vector<std::string>& follows) {
+    return {{"follows", follows}};
+}
+
+std::vector<std::string> decode_follows(const Json& v) {
+    return v.at("follows").get<std::vector<std::string>>();
+}
+
+JobRecord decode_job(const Json& v) {
+    JobRecord job;
+    JobSpec& s = job.spec;
     s.uid = v.at("uid").get<std::string>();
     s.job_class = v.at("class").get<std::string>();
     s.team = v.at("team").get<std::string>();
@@ -309,7 +361,20 @@
     if (v.contains("deadline_s")) {
         s.deadline_s = v.at("deadline_s").get<double>();
     }
-    return s;
+    job.submitted_wall = v.at("submitted").get<double>();
+    job.block_size = v.at("block_size").get<int>();
+    job.cancelled_wall = v.at("cancelled").get<double>();
+    job.page_size = v.value("page_size", 0);
+    job.ready_wall = v.value("ready", 0.0);
+    if (v.contains("of_team")) {
+        job.waiting = true;
+        s.team = v.at("of_team").get<std::string>();
+        job.follow_parts = v.value("follow_parts", 0);
+        if (v.contains("follows")) {
+            s.follows = decode_follows(v);
+        }
+    }
+    return job;
 }
 
 }  // namespace cranemoor::core
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -23,6 +23,12 @@
 std::string block(const std::string& uid, int index);
 // Jobs of one block that were accepted together.
 std::string accepted(std::uint64_t member, std::uint64_t number);
+// A page of a job whose block records can't be put any more; see JobRecord.
+std::string page(const std::string& uid, int index);
+// A part of a long list of jobs that one follows.
+std::string follows(const std::string& uid, int part);
+// That the controller of that name has run a version with pages and dependent jobs.
+std::string version(const std::string& name);
 std::string quota(const std::string& team);
 std::string marks(std::uint64_t member, std::uint64_t number);
 std::string finished(const std::string& uid);
@@ -72,6 +78,25 @@
     int done_count() const { return done_total; }
     void add_done(int task);
 };
+// What its record takes, as the state service counts it.
+std::size_t bytes_of(const Block& block);
+std::size_t bytes_of(int task, const Placement& place);
+
+// A job as its record has it.
+struct JobRecord {
+    JobSpec spec;
+    double submitted_wall = 0;
+    int block_size = 0;  // tasks of one block record
+    double cancelled_wall = 0;
+    // Tasks of one page, 0: it has none. The block records of a job with pages stay as they are;
+    // what changes is written to the page, which holds for its tasks as soon as it is there.
+    int page_size = 0;
+    // Waits for the jobs it follows. The version before this one takes its team for unknown, and
+    // so claims nothing for it.
+    bool waiting = false;
+    int follow_parts = 0;   // records that hold what it follows, 0: this one does
+    double ready_wall = 0;  // when the last job that it follows was done
+};
 
 // Set on a machine before it is returned: nothing new is started on it from then on.
 struct Mark {
@@ -100,12 +125,16 @@
 Json encode(const Block& block);
 Json encode(const Finished& finished);
 Json encode(const Marks& marks);
+// What a machine's name takes in such a record once it is gone.
+inline std::size_t mark_bytes(const std::string& machine) {
+    return 2 * (machine.size() + 3);
+}
 Json encode(const Slices& slices);
 Json encode_member(const Member& member);
-// cancelled_wall: when it was cancelled, 0 if it was not
-Json encode_job(const JobSpec& spec, double submitted_wall, int block_size, double cancelled_wall);
+Json encode(const JobRecord& job);
+Json encode_follows(const std::vector<std::string>& follows);
 
-// jobs: as encode_job made them
+// jobs: as encode made them
 Json encode_listing(Json jobs);
 
 Epoch decode_epoch(const Json& value);
@@ -114,7 +143,8 @@
 Marks decode_marks(const Json& value);
 Slices decode_slices(const Json& value);
 Member decode_member(const Json& value);
-JobSpec decode_job_spec(const Json& value);
+JobRecord decode_job(const Json& value);
+std::vector<std::string> decode_follows(const Json& value);
 
 const char* kind_name(JobKind kind);
 const char* priority_name(Priority priority);
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -2,8 +2,21 @@
 
 #include <algorithm>
 
+#include "core/conversion.hpp"
+
 namespace cranemoor::core {
 
+namespace {
+
+// bytes of a value round the list that it holds: {"follows":[]} or {"jobs":[]}
+constexpr std::size_t listing_frame_bytes = 16;
+
+std::size_t bytes_of(const JobRecord& record) {
+    return encode(record).dump().size();
+}
+
+}  // namespace
+
 void Requests::reply(std::uint64_t request, int status, const std::string& uid,
                      const std::string& state, const std::string& error) {
     open_.erase(request);
@@ -233,7 +246,8 @@
         return;
     }
     std::string why = refusal(spec);
-    if (why.empty() && ctx_.jobs.find(spec.uid) == nullptr && on_way_.count(spec.uid) == 0) {
+    bool known = ctx_.jobs.find(spec.uid) != nullptr || on_way_.count(spec.uid) != 0;
+    if (why.empty() && !known && spec.follows.empty()) {
         open_[request] = {spec.uid, ctx_.now.steady + constants::submit_wait_s, nullptr};
         if (!members_.in_contact() || open_.size() > constants::user_queue_max) {
             busy(request, spec.uid);
@@ -247,6 +261,8 @@
         answer_known(request, spec.uid, false, [this, request, spec, why] {
             if (!why.empty()) {
                 reply(request, 422, spec.uid, "", why);
+            } else if (!spec.follows.empty()) {
+                accept_dependent(request, spec);
             } else {
                 accept(request, spec, constants::accept_tries);
             }
@@ -254,6 +270,40 @@
     });
 }
 
+// A job that follows others, after a fresh look: each of them must have been accepted. Most are in
+// memory; what is over so long that it isn't is read, within the budget of look-ups, and kept for
+// the case that the user has to come again.
+void Requests::accept_dependent(std::uint64_t request, const JobSpec& spec) {
+    if (!ctx_.upgraded()) {
+        // A controller of the version before may still have to come back and would start it.
+        busy(request, spec.uid);
+        return;
+    }
+    for (const auto& other : spec.follows) {
+        bool known = ctx_.jobs.find(other) != nullptr || known_final(other) != nullptr ||
+                     on_way_.count(other) != 0;
+        if (known) {
+            continue;
+        }
+        look_up(request, other, [this, request, spec, other](const Finished* f) {
+            if (f == nullptr) {
+                reply(request, 422, spec.uid, "",
+                      "follows a job that was never accepted: " + other);
+            } else {
+                accept_dependent(request, spec);
+            }
+        });
+        return;
+    }
+    // What is done stays done: only the others have to be waited for.
+    JobSpec left = spec;
+    std::erase_if(left.follows, [&](const std::string& other) {
+        const Finished* f = known_final(other);
+        return f != nullptr && !f->cancelled;
+    });
+    accept(request, left, constants::accept_tries);
+}
+
 void Requests::invalid(std::uint64_t request, const std::optional<std::string>& uid,
                        const std::string& error) {
     if (!uid) {
@@ -266,13 +316,6 @@
     });
 }
 
-int Requests::block_size() const {
-    int fits =
-        static_cast<int>((ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes) /
-                         constants::placement_bytes);
-    return std::max(2, std::min(constants::block_tasks_max, fits) / 2 * 2);
-}
-
 void Requests::accept(std::uint64_t request, const JobSpec& spec, int tries) {
     if (!ctx_.member || tries == 0) {
         busy(request, spec.uid);
@@ -293,17 +336,16 @@
 }
 
 // Jobs that come while others are being written share a record: one write accepts them all. A job
-// of several blocks has a record of its own, since claims on its blocks don't see each other.
+// of several blocks has a record of its own, since claims on its blocks don't see each other, and
+// so has one that waits for others, which is written again when they are done.
 void Requests::write_accepted() {
     while (!accepting_.empty() && accepts_open_ < constants::accepts_open) {
         std::vector<Acceptance> batch;
         Txn txn;
         txn.conditions.push_back(ctx_.epoch_condition());
         Json jobs = Json::array();
-        std::size_t conditions_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 4;
-        double room = ctx_.settings.state_value_kb * 1024 - constants::block_overhead_bytes;
-        bool alone = false;  // the first is a job of several blocks
-        while (!accepting_.empty() && !alone) {
+        std::size_t room = ctx_.value_max() - std::min(ctx_.value_max(), listing_frame_bytes);
+        while (!accepting_.empty()) {
             Acceptance& a = accepting_.front();
             std::erase_if(a.requests, [&](std::uint64_t r) { return !take(r); });
             if (a.requests.empty()) {
@@ -311,30 +353,44 @@
                 continue;
             }
             const auto& uid = a.spec.uid;
-            bool large = a.spec.tasks > block_size();
-            Json value = encode_job(a.spec, ctx_.now.wall, block_size(), 0);
-            room -= static_cast<double>(value.dump().size()) + 1;
-            if (!batch.empty() &&
-                (large || room < 0 || txn.conditions.size() + 3 > conditions_max)) {
+            JobRecord record = new_record(a);
+            if (record.waiting && a.parts == 0 && bytes_of(record) > ctx_.value_max()) {
+                write_parts(std::move(a));
+                accepting_.pop_front();
+                continue;
+            }
+            bool own = record.waiting || a.spec.tasks > record.block_size;
+            Json value = encode(record);
+            std::size_t bytes = own ? 0 : value.dump().size() + 1;
+            // Of a listing there is one write more.
+            std::size_t writes =
+                txn.writes.size() + (own || jobs.empty() ? 1 : 0) + (own && !jobs.empty() ? 1 : 0);
+            if (!batch.empty() && (bytes > room || writes > ctx_.ops_max() ||
+                                   txn.conditions.size() + 4 > ctx_.conditions_max())) {
                 break;
             }
-            alone = large;
+            room -= std::min(room, bytes);
             // Neither known in any form nor over: a write that comes late must not revive it.
             for (const auto& key : {keys::job(uid), keys::block(uid, 0), keys::finished(uid)}) {
                 txn.conditions.push_back({key, 0});
             }
-            jobs.push_back(std::move(value));
+            if (a.parts > 0) {
+                txn.conditions.push_back({keys::follows(uid, a.parts - 1), a.parts_revision});
+            }
+            if (own) {
+                txn.writes.push_back({keys::job(uid), std::move(value)});
+            } else {
+                jobs.push_back(std::move(value));
+            }
             batch.push_back(std::move(a));
             accepting_.pop_front();
         }
         if (batch.empty()) {
             return;
         }
-        if (alone) {
-            txn.writes = {{keys::job(batch.front().spec.uid), jobs.front()}};
-        } else {
-            txn.writes = {
-                {keys::accepted(ctx_.me.id, ++accepted_records_), encode_listing(std::move(jobs))}};
+        if (!jobs.empty()) {
+            txn.writes.push_back(
+                {keys::accepted(ctx_.me.id, ++accepted_records_), encode_listing(std::move(jobs))});
         }
         ++accepts_open_;
         ctx_.txn(std::move(txn), [this, batch = std::move(batch)](const StateReply& r) {
@@ -345,6 +401,65 @@
     }
 }
 
+JobRecord Requests::new_record(const Acceptance& a) const {
+    JobRecord record;
+    record.spec = a.spec;
+    record.submitted_wall = ctx_.now.wall;
+    record.block_size = block_tasks(ctx_);
+    record.waiting = !a.spec.follows.empty();
+    record.follow_parts = a.parts;
+    if (record.spec.types && bytes_of(record) > ctx_.value_max()) {
+        // A list of many types is cut to those that can be rented.
+        std::erase_if(*record.spec.types,
+                      [&](const std::string& t) { return fleet_.type(t) == nullptr; });
+    }
+    return record;
+}
+
+// A long list of followed jobs is written before the record that accepts the job, a part in each
+// write. Without that record the parts mean nothing, and are removed after a while.
+void Requests::write_parts(Acceptance a) {
+    std::size_t room = ctx_.value_max() - std::min(ctx_.value_max() / 2, listing_frame_bytes);
+    std::vector<std::vector<std::string>> parts(1);
+    std::size_t bytes = 0;
+    for (const auto& other : a.spec.follows) {
+        if (bytes + other.size() + 3 > room) {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += other.size() + 3;
+        parts.back().push_back(other);
+    }
+    write_part(std::make_shared<Acceptance>(std::move(a)), std::move(parts));
+}
+
+void Requests::write_part(std::shared_ptr<Acceptance> a,
+                          std::vector<std::vector<std::string>> parts) {
+    auto n = static_cast<std::size_t>(a->parts);
+    if (n == parts.size()) {
+        accepting_.push_back(std::move(*a));
+        write_accepted();
+        return;
+    }
+    auto key = keys::follows(a->spec.uid, a->parts);
+    Txn txn;
+    txn.conditions = {ctx_.epoch_condition(), {key, ctx_.jobs.revision_of(key)}};
+    txn.writes = {{key, encode_follows(parts[n])}};
+    ctx_.txn(std::move(txn), [this, a, parts = std::move(parts)](const StateReply& r) {
+        if (r.status != StateReply::Status::ok) {
+            for (auto request : a->requests) {
+                if (take(request)) {
+                    busy(request, a->spec.uid);
+                }
+            }
+            return;
+        }
+        ++a->parts;
+        a->parts_revision = r.revision;
+        write_part(a, parts);
+    });
+}
+
 void Requests::accepted(const std::vector<Acceptance>& batch, const StateReply& r) {
     for (const auto& a : batch) {
         const auto& uid = a.spec.uid;
@@ -418,9 +533,14 @@
     Txn txn;
     txn.conditions = ctx_.jobs.alive(*job);
     txn.conditions.push_back(ctx_.epoch_condition());
+    JobRecord record = job->record();
+    record.cancelled_wall = when;
     if (job->own_record) {
-        txn.writes = {
-            {keys::job(uid), encode_job(job->spec, job->submitted_wall, job->block_size, when)}};
+        txn.writes = {{keys::job(uid), encode(record)}};
+    } else if (bytes_of(job->block(0)) > ctx_.value_max()) {
+        // Its block can't be put again: a record of its own goes before the one that it shares.
+        txn.conditions.push_back({keys::block(uid, 0), job->block(0).revision});
+        txn.writes = {{keys::job(uid), encode(record)}};
     } else {
         Block b = job->block(0);
         b.cancelled_wall = when;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -72,8 +73,13 @@
         std::vector<std::uint64_t> requests;
         JobSpec spec;
         int tries = 0;
+        int parts = 0;                // records that hold what it follows
+        Revision parts_revision = 0;  // of the last of them
     };
-    int block_size() const;
+    JobRecord new_record(const Acceptance& a) const;
+    void accept_dependent(std::uint64_t request, const JobSpec& spec);
+    void write_parts(Acceptance a);
+    void write_part(std::shared_ptr<Acceptance> a, std::vector<std::vector<std::string>> parts);
     void accept(std::uint64_t request, const JobSpec& spec, int tries);
     void write_accepted();
     void accepted(const std::vector<Acceptance>& batch, const StateReply& reply);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -91,10 +91,11 @@
         }
         // Of those that came together, jobs with one image follow each other, so that they fill
         // the same machines: images fetched side by side share the rate, and all are late.
-        double a_came = std::floor(x.job->submitted_wall / constants::together_s);
-        double b_came = std::floor(y.job->submitted_wall / constants::together_s);
-        return std::tie(a_came, a.image, x.job->submitted_wall, a.uid) <
-               std::tie(b_came, b.image, y.job->submitted_wall, b.uid);
+        double a_came = std::floor(x.job->came_wall() / constants::together_s);
+        double b_came = std::floor(y.job->came_wall() / constants::together_s);
+        double a_at = x.job->came_wall();
+        double b_at = y.job->came_wall();
+        return std::tie(a_came, a.image, a_at, a.uid) < std::tie(b_came, b.image, b_at, b.uid);
     });
     std::vector<const Job*> jobs;
     jobs.reserve(list.size());
@@ -164,7 +165,7 @@
     if ((s.zone && *s.zone != m.zone) || (m.spot && !s.spot)) {
         return false;
     }
-    if (s.together && s.kind != JobKind::gang && job.block_count() > 1) {
+    if (s.together && s.kind != JobKind::gang && job.record_count() > 1) {
         // Claims on different blocks don't see each other: a fixed zone keeps them together.
         const auto& zones = ctx_.settings.zones;
         std::size_t pick = stable_hash(s.uid) % std::max<std::size_t>(1, zones.size());
@@ -185,9 +186,19 @@
     }
     // Blocks are of even size, all but the last: if each keeps to half of its own tasks, rounded
     // up, then so does the job. That lets a claim be checked under its own block's revision.
+    // Pages are looked at together, as the record that they were made from: each alone may hold
+    // more than its half already.
+    int last = job.block_last(k);
+    if (job.page_size > 0) {
+        first = first / job.record_size * job.record_size;
+        last = std::min(job.spec.tasks, first + job.record_size) - 1;
+        size = last - first + 1;
+    }
     int there = 0;
-    for (const auto& [task, p] : job.block(k).placed) {
-        there += p.zone == zone ? 1 : 0;
+    for (int b = job.block_of(first); b <= job.block_of(last); ++b) {
+        for (const auto& [task, p] : job.block(b).placed) {
+            there += p.zone == zone && task >= first && task <= last ? 1 : 0;
+        }
     }
     return std::max(0, (size + 1) / 2 - there);
 }
@@ -445,17 +456,17 @@
 int Scheduler::claim_tasks(const Job& job, const std::vector<Choice>& choices) {
     const JobSpec& s = job.spec;
     int image = fleet_.image_number(s.image);
-    std::size_t machines_max = static_cast<std::size_t>(ctx_.settings.state_txn_ops) * 2;
+    std::size_t machines_max = ctx_.ops_max() * 2;
     std::size_t claimed = 0;
     for (int k = 0; k < job.block_count(); ++k) {
         const Block& now = job.block(k);
         int open = job.block_last(k) - job.block_first(k) + 1 - now.done_count();
-        if (open == static_cast<int>(now.placed.size()) ||
-            ctx_.busy.count(keys::block(s.uid, k)) != 0) {
+        if (open == static_cast<int>(now.placed.size()) || ctx_.busy.count(job.block_key(k)) != 0) {
             continue;
         }
         Block next = now;
         next.attempt++;
+        std::size_t bytes = bytes_of(next);
         std::vector<std::pair<int, Offer*>> places;
         std::map<std::string, int> spread;  // by zone, what its rule still allows
         std::set<Offer*> used;
@@ -495,6 +506,11 @@
             if (choice == choices.end() || used.size() > machines_max) {
                 break;
             }
+            const Machine& m = *choice->offer->machine;
+            bytes += bytes_of(t, {m.name, m.zone, next.attempt, ctx_.me.id});
+            if (bytes > ctx_.value_max()) {
+                break;  // its record takes no more
+            }
             choice->offer->room -= s.each;
             used.insert(choice->offer);
             places.emplace_back(t, choice->offer);
@@ -519,6 +535,9 @@
         }
         claimed += places.size();
         add_claim(job, {{k, next}}, machines, static_cast<int>(places.size()));
+        if (job.page_size > 0 && (s.spread || s.together)) {
+            break;  // the next page's places depend on these
+        }
     }
     return static_cast<int>(claimed);
 }
@@ -534,7 +553,7 @@
     std::map<int, Block> next;
     std::uint64_t attempt = 0;
     for (int k = 0; k < blocks; ++k) {
-        if (ctx_.busy.count(keys::block(s.uid, k)) != 0) {
+        if (ctx_.busy.count(job.block_key(k)) != 0) {
             return false;
         }
         next[k] = job.block(k);
@@ -600,6 +619,16 @@
         w.skipped = true;
         return true;  // it has room: nothing needs to be held for it
     }
+    std::map<int, std::size_t> bytes;
+    for (const auto& [t, offer] : best) {
+        auto [sum, first] = bytes.try_emplace(job.block_of(t), bytes_of(next[job.block_of(t)]));
+        sum->second +=
+            bytes_of(t, {offer->machine->name, offer->machine->zone, attempt, ctx_.me.id});
+        if (sum->second > ctx_.value_max()) {
+            ctx_.to_part.insert(s.uid);  // its blocks are of the version before
+            return true;
+        }
+    }
     send_batch();  // a gang's blocks have a transaction of their own
     Resources all = s.each * s.tasks;
     if (!quota_.within_limit(s.team, all) || !quota_.cover(s.team, all, batch_.txn)) {
@@ -630,15 +659,22 @@
     }
     Claim claim;
     for (const auto& [k, b] : blocks) {
-        auto key = keys::block(job.spec.uid, k);
+        auto key = job.block_key(k);
         claim.key = key;
         claim.revision = job.block(k).revision;
-        txn.conditions.push_back({key, claim.revision});
-        txn.writes.push_back({key, encode(b)});
+        job.add_block(k, b, txn);
         ctx_.busy.insert(key);
         batch_.blocks.push_back(key);
         ++blocks_open_;
     }
+    if (job.page_size > 0 && (job.spec.spread || job.spec.together)) {
+        // Whether the place is allowed depends on the tasks of the other pages.
+        for (int k = 0; k < job.block_count(); ++k) {
+            if (blocks.count(k) == 0) {
+                txn.conditions.push_back({job.block_key(k), job.block(k).revision});
+            }
+        }
+    }
     for (const auto& name : machines) {
         reserved_[name] += job.spec.each;
         batch_.places.emplace_back(name, job.spec.each);
@@ -651,8 +687,8 @@
     std::set<std::string> distinct(machines.begin(), machines.end());
     ctx_.info("claim {} tasks {} on {}", job.spec.uid, tasks, fmt::join(distinct, ","));
     // The next claim may bring a block and a quota record.
-    if (batch_.blocks.size() >= constants::claim_blocks ||
-        txn.writes.size() + 2 > static_cast<std::size_t>(ctx_.settings.state_txn_ops)) {
+    if (batch_.blocks.size() >= constants::claim_blocks || txn.writes.size() + 2 > ctx_.ops_max() ||
+        txn.conditions.size() + constants::claim_conditions > ctx_.conditions_max()) {
         send_batch();
     }
 }
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -64,6 +64,7 @@
     double checkpoint_s = 0;
     double save_s = 0;
     std::optional<double> deadline_s;
+    std::vector<std::string> follows;  // jobs that must be done before any of its tasks starts
 };
 
 struct TaskId {
@@ -179,9 +180,11 @@
     double gang_peer_s = 0;
     double cancel_s = 0;
     double state_rps = 0;
+    // The smaller of today's limits and of those that are announced: what fits these always fits.
     double state_write_rps = 0;
     double state_value_kb = 0;
     int state_txn_ops = 0;
+    double state_value_kb_today = 0;  // what records of an earlier version may take
     double cloud_rps = 0;
     double list_lag_s = 0;
     int max_connections = 1000;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -289,6 +289,14 @@
     s.checkpoint_s = f.amount("nestmark_s");
     s.save_s = f.amount("preen_s");
     s.deadline_s = f.amount_or_null("dusk_s");
+    if (!f.null("follows")) {
+        s.follows = f.texts("follows");
+        if (!std::all_of(s.follows.begin(), s.follows.end(), valid_uid)) {
+            f.fail("follows", 0);
+        }
+        std::sort(s.follows.begin(), s.follows.end());
+        s.follows.erase(std::unique(s.follows.begin(), s.follows.end()), s.follows.end());
+    }
     if (!f.ok()) {
         return Invalid{s.uid, f.error()};
     }
