--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -1154,6 +1154,10 @@
     auto pick = [&](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
     w.run_s = 15;
     w.tunables.final_states = 4;  // so that they are moved as well
+    if (GetParam() % 2 == 0) {
+        w.settings.state_value_kb = 2;
+        w.settings.state_txn_ops = 4;
+    }
     w.start_all();
     w.lost_answers = 0.03;
     w.late_txn = 0.03;
@@ -1161,6 +1165,10 @@
     std::vector<std::string> jobs;
     for (int step = 0; step < 120; ++step) {
         int node = pick(3);
+        if (step == 60) {
+            w.value_kb = w.settings.state_value_kb;
+            w.txn_ops = w.settings.state_txn_ops;
+        }
         switch (pick(12)) {
             case 0:
                 if (w.alive(node)) {
@@ -1204,6 +1212,10 @@
                 auto kind = std::array{JobKind::array, JobKind::gang,
                                        JobKind::service}[static_cast<std::size_t>(pick(3))];
                 auto spec = w.job(step + 1, kind, 1 + pick(4));
+                if (kind == JobKind::array && pick(6) == 0) {
+                    spec.tasks = 60;  // of several blocks
+                    spec.each = {1, 0, 1};
+                }
                 spec.team = pick(2) == 0 ? "red" : "blue";
                 spec.spread = pick(3) == 0;
                 spec.together = !spec.spread && pick(3) == 0;
