--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -476,6 +476,29 @@
     });
 }
 
+// Enters what is known of a block's ends and not written yet.
+void Fleet::add_outcomes(const Job& job, int k, Block& next) const {
+    auto pending = outcomes_.find({job.spec.uid, k});
+    if (pending == outcomes_.end()) {
+        return;
+    }
+    bool some_done = false;
+    bool some_error = false;
+    for (const auto& [index, outcome] : pending->second.tasks) {
+        auto p = next.placed.find(index);
+        if (p == next.placed.end() || p->second.attempt != outcome.attempt) {
+            continue;
+        }
+        next.placed.erase(p);
+        if (outcome.done) {
+            next.add_done(index);
+        }
+        some_done = some_done || outcome.done;
+        some_error = some_error || outcome.error;
+    }
+    next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
+}
+
 void Fleet::flush() {
     if (!ctx_.member) {
         return;
@@ -522,17 +545,7 @@
             continue;
         }
         Block next = old;
-        bool some_done = false;
-        bool some_error = false;
-        for (const auto& [index, outcome] : tasks) {
-            next.placed.erase(index);
-            if (outcome.done) {
-                next.add_done(index);
-            }
-            some_done = some_done || outcome.done;
-            some_error = some_error || outcome.error;
-        }
-        next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
+        add_outcomes(*job, k, next);
         int done = job->done() + next.done_count() - old.done_count();
         bool completes = done == job->spec.tasks && !job->cancelled;
         // Else finish_jobs does it once the blocks are written.
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -136,6 +136,7 @@
     // Writes what was observed and is due.
     void flush();
     static bool gang_broken(const Job& job);
+    void add_outcomes(const Job& job, int k, Block& next) const;
     std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
     void finish_jobs();
     void move_final_states();
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -464,7 +464,9 @@
         if (open == static_cast<int>(now.placed.size()) || ctx_.busy.count(job.block_key(k)) != 0) {
             continue;
         }
+        // The record is written whole: ends that wait to be told go with it.
         Block next = now;
+        fleet_.add_outcomes(job, k, next);
         next.attempt++;
         std::size_t bytes = bytes_of(next);
         std::vector<std::pair<int, Offer*>> places;
@@ -489,8 +491,8 @@
             return true;
         };
         for (int t = job.block_first(k); t <= job.block_last(k); ++t) {
-            if (next.placed.count(t) != 0 || next.is_done(t)) {
-                continue;
+            if (now.placed.count(t) != 0 || next.is_done(t)) {
+                continue;  // also what has just ended without success: its turn comes later
             }
             // Less than what would fit, if the limit allows only that.
             Resources all = s.each * static_cast<double>(places.size() + 1);
