--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -173,6 +173,9 @@
 // s the ends of a cancelled job's tasks are collected: its workers report them within half a
 // second of the stop
 inline constexpr double outcome_soon_s = 1.0;
+// blocks whose ends are on their way to the records at the most: about what the write limit lets
+// through in the time of an answer when it is short
+inline constexpr std::size_t ends_open = 6;
 // s after which a worker cut off from its controller has found a way round: two timeouts of
 // 4 s, a pause of 1 s after each, and the relay itself
 inline constexpr double relay_detour_s = 12.5;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -499,14 +499,13 @@
     next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
 }
 
+// Ends go out in the order in which they are missed, and only so many at once: while writes are
+// short they would wait anyway, and what is told meanwhile goes with them.
 void Fleet::flush() {
     if (!ctx_.member) {
         return;
     }
-    Txn txn;
-    std::vector<std::string> taken;
-    std::vector<std::pair<std::string, int>> written;
-    std::size_t room = ctx_.ops_max();
+    std::vector<std::tuple<bool, double, std::pair<std::string, int>>> ready;
     for (auto it = outcomes_.begin(); it != outcomes_.end();) {
         const auto& [uid, k] = it->first;
         auto& pending = it->second;
@@ -533,64 +532,36 @@
             continue;
         }
         pending.look = false;
-        const Block& old = job->block(k);
-        if (!due(*job, old, pending)) {
-            ++it;
-            continue;
+        if (due(*job, job->block(k), pending)) {
+            bool missed = job->cancelled || job->spec.kind == JobKind::gang ||
+                          std::any_of(tasks.begin(), tasks.end(),
+                                      [](const auto& t) { return !t.second.done; });
+            ready.emplace_back(!missed, pending.since, it->first);
         }
-        auto key = job->block_key(k);
-        if (ctx_.busy.count(key) != 0) {
-            pending.look = true;
-            ++it;
-            continue;
-        }
-        Block next = old;
-        add_outcomes(*job, k, next);
-        int done = job->done() + next.done_count() - old.done_count();
-        bool completes = done == job->spec.tasks && !job->cancelled;
-        // Else finish_jobs does it once the blocks are written.
-        std::size_t records = completes ? 1 + job->other_records().size() : 1;
-        completes = completes && records <= room;
-        for (const auto& [other, b] : job->blocks) {
-            completes = completes && ctx_.busy.count(job->block_key(other)) == 0;
-        }
-        if (!completes && bytes_of(next) > ctx_.value_max()) {
-            // Written by the version before, under a larger limit.
-            bool bearable = !ctx_.upgraded() && bytes_of(next) <= ctx_.value_max_today();
-            if (!bearable) {
-                ctx_.to_part.insert(uid);
-                pending.look = true;
-                ++it;
-                continue;
-            }
-        }
-        Txn more;
-        std::vector<std::string> changed = {key};
-        if (completes) {
-            changed = add_final(*job, false, more);
+        ++it;
+    }
+    std::sort(ready.begin(), ready.end());
+    Txn txn;
+    std::vector<std::string> taken;
+    std::vector<std::pair<std::string, int>> written;
+    bool full = false;
+    for (const auto& [later, since, key] : ready) {
+        full = full || ends_open_ + written.size() >= constants::ends_open;
+        if (full || !add_ends(key, txn, taken)) {
+            outcomes_[key].look = true;
         } else {
-            job->add_block(k, next, more);
+            written.push_back(key);
         }
-        // One more condition is the epoch's.
-        if (txn.writes.size() + more.writes.size() > room ||
-            txn.conditions.size() + more.conditions.size() + 1 > ctx_.conditions_max()) {
-            pending.look = true;
-            ++it;
-            continue;
-        }
-        written.push_back(it->first);
-        append(txn, std::move(more));
-        ctx_.busy.insert(changed.begin(), changed.end());
-        taken.insert(taken.end(), changed.begin(), changed.end());
-        ++it;
     }
     if (txn.writes.empty()) {
         return;
     }
     txn.conditions.push_back(ctx_.epoch_condition());
+    ends_open_ += written.size();
     ctx_.txn(txn, [this, taken, written](const StateReply& r) {
         // Refused or unknown: the next tick tries again. If the first one is executed late, its
         // conditions fail or it says the same.
+        ends_open_ -= written.size();
         ctx_.when_settled(r, [this, taken, written] {
             for (const auto& key : taken) {
                 ctx_.busy.erase(key);
@@ -604,6 +575,51 @@
     });
 }
 
+// Adds the ends of one block's tasks to a transaction, if it takes them now.
+bool Fleet::add_ends(const std::pair<std::string, int>& which, Txn& txn,
+                     std::vector<std::string>& taken) {
+    const auto& [uid, k] = which;
+    const Job& job = *ctx_.jobs.find(uid);
+    auto key = job.block_key(k);
+    if (ctx_.busy.count(key) != 0) {
+        return false;
+    }
+    const Block& old = job.block(k);
+    Block next = old;
+    add_outcomes(job, k, next);
+    int done = job.done() + next.done_count() - old.done_count();
+    bool completes = done == job.spec.tasks && !job.cancelled;
+    // Else finish_jobs does it once the blocks are written.
+    completes = completes && 1 + job.other_records().size() <= ctx_.ops_max();
+    for (const auto& [other, b] : job.blocks) {
+        completes = completes && ctx_.busy.count(job.block_key(other)) == 0;
+    }
+    if (!completes && bytes_of(next) > ctx_.value_max()) {
+        // Written by the version before, under a larger limit.
+        bool bearable = !ctx_.upgraded() && bytes_of(next) <= ctx_.value_max_today();
+        if (!bearable) {
+            ctx_.to_part.insert(uid);
+            return false;
+        }
+    }
+    Txn more;
+    std::vector<std::string> changed = {key};
+    if (completes) {
+        changed = add_final(job, false, more);
+    } else {
+        job.add_block(k, next, more);
+    }
+    // One more condition is the epoch's.
+    if (txn.writes.size() + more.writes.size() > ctx_.ops_max() ||
+        txn.conditions.size() + more.conditions.size() + 1 > ctx_.conditions_max()) {
+        return false;
+    }
+    append(txn, std::move(more));
+    ctx_.busy.insert(changed.begin(), changed.end());
+    taken.insert(taken.end(), changed.begin(), changed.end());
+    return true;
+}
+
 // Adds a job's final state to a transaction, and the removal of its other blocks as far as there
 // is room for it; returns their keys. The final state takes the place of the first block: one write
 // for a job of one block, and every copy knows it without a read.
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -185,6 +185,8 @@
     bool cut_from_workers(int mine) const;
     void raise_tokens();
     void write_marks();
+    bool add_ends(const std::pair<std::string, int>& which, Txn& txn,
+                  std::vector<std::string>& taken);
     void retire_listings(const std::set<std::string>& keys, Txn& txn) const;
 
     Context& ctx_;
@@ -195,6 +197,7 @@
     mutable std::unordered_map<std::string, int> image_numbers_;
     std::set<std::string> asking_;  // machines whose report waits for its answer
     std::map<std::pair<std::string, int>, Pending> outcomes_;  // by job and block
+    std::size_t ends_open_ = 0;  // blocks whose ends are on their way to the records
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
     // submission time and machines of such jobs
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -48,6 +48,9 @@
 void StateClient::pump() {
     double t = loop_.now().steady;
     double wait = 1e18;
+    // Guards against a transaction of several changes that never goes out, since smaller ones that
+    // came later take what little is left each time.
+    bool short_of_writes = false;
     for (std::size_t i = 0; i < queue_.size();) {
         Waiting& w = queue_[i];
         bool watch = w.call.kind == core::StateCall::Kind::watch;
@@ -62,8 +65,11 @@
             return;
         }
         core::RateBudget& budget = watch ? reopened_ : requests_;
-        bool go = t >= w.not_before && budget.has(t, 1) && (watch || writes_.has(t, writes));
+        bool changes = !watch && writes > 0;
+        bool go = t >= w.not_before && budget.has(t, 1) &&
+                  (!changes || (!short_of_writes && writes_.has(t, writes)));
         if (!go) {
+            short_of_writes = short_of_writes || (changes && t >= w.not_before);
             double after = std::max(
                 {w.not_before - t, budget.wait(t, 1), watch ? 0.0 : writes_.wait(t, writes)});
             wait = std::min({wait, after, w.deadline - t});
@@ -71,7 +77,7 @@
             continue;
         }
         budget.take(1);
-        if (!watch) {
+        if (changes) {
             writes_.take(writes);
         }
         Waiting out = std::move(w);
@@ -95,7 +101,7 @@
                            Waiting again = w;
                            again.tries++;
                            again.not_before = loop_.now().steady + again_s * again.tries;
-                           queue_.push_back(std::move(again));
+                           queue_.push_front(std::move(again));
                            pump();
                            return;
                        }
