--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -25,9 +25,17 @@
     std::uint64_t lease = 0;    // 0: not attached
 };
 
+// Which changes go first while the write limit makes some wait.
+enum class Urgency {
+    first,   // users wait for them, or all work does
+    normal,  // work waits for them
+    last     // they only tell what everybody will learn in time
+};
+
 struct Txn {
     std::vector<Condition> conditions;
     std::vector<Write> writes;
+    Urgency urgency = Urgency::normal;
 };
 
 struct StateCall {
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -168,8 +168,9 @@
 inline constexpr double sweep_every_s = 0.5;
 // machines taken over whose token is raised in one tick
 inline constexpr int raise_per_tick = 20;
-// s the ends of an array's tasks are collected for one write
-inline constexpr double outcome_hold_s = 5.0;
+// s the ends of an array's tasks are collected for one write: nothing waits for them, and each
+// write saved is one that a claim can have
+inline constexpr double outcome_hold_s = 15.0;
 // s the ends of a cancelled job's tasks are collected: its workers report them within half a
 // second of the stop
 inline constexpr double outcome_soon_s = 1.0;
--- a/src/core/dependencies.cpp
+++ b/src/core/dependencies.cpp
@@ -236,19 +236,21 @@
 // a crash leaves out, the next member finds in the same records.
 void Dependencies::cancel_with(const std::vector<std::string>& uids) {
     Txn txn;
+    txn.urgency = Urgency::first;
     std::vector<std::string> names;
     auto send = [&] {
         if (names.empty()) {
             return;
         }
         txn.conditions.push_back(ctx_.epoch_condition());
-        ctx_.txn(std::exchange(txn, {}), [this, names](const StateReply& r) {
-            ctx_.when_settled(r, [this, names] {
-                for (const auto& uid : names) {
-                    writing_.erase(uid);
-                }
-            });
-        });
+        ctx_.txn(std::exchange(txn, Txn{{}, {}, Urgency::first}),
+                 [this, names](const StateReply& r) {
+                     ctx_.when_settled(r, [this, names] {
+                         for (const auto& uid : names) {
+                             writing_.erase(uid);
+                         }
+                     });
+                 });
         names.clear();
     };
     for (const auto& uid : uids) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -451,6 +451,15 @@
     }
 }
 
+// Whether all that is placed there has ended, as far as its owner knows.
+bool Fleet::vacated(const Machine& m) const {
+    const auto& placed = ctx_.jobs.on_machine(m.name);
+    return std::all_of(placed.begin(), placed.end(), [&](const auto& t) {
+        auto status = m.tasks.find({t.first, t.second.place->attempt});
+        return status != m.tasks.end() && status->second.state == TaskState::exited;
+    });
+}
+
 // Whether a block's outcomes should be written now. Its record is written whole, so that the ends
 // of several tasks cost one write: they are collected for a while. Nothing waits for them
 // meanwhile: a task that ended leaves its room at once, and the last one here to end writes them
@@ -470,6 +479,13 @@
         !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
         return true;
     }
+    // A machine that nothing else runs on is room for a gang, as soon as its members know.
+    for (const auto& [index, o] : pending.tasks) {
+        auto m = machines_.find(o.machine);
+        if (m != machines_.end() && vacated(m->second)) {
+            return true;
+        }
+    }
     return std::none_of(block.placed.begin(), block.placed.end(), [&](const auto& t) {
         auto m = machines_.find(t.second.machine);
         return m != machines_.end() && m->second.mine && pending.tasks.count(t.first) == 0;
@@ -534,6 +550,7 @@
         pending.look = false;
         if (due(*job, job->block(k), pending)) {
             bool missed = job->cancelled || job->spec.kind == JobKind::gang ||
+                          job->done() + static_cast<int>(tasks.size()) >= job->spec.tasks ||
                           std::any_of(tasks.begin(), tasks.end(),
                                       [](const auto& t) { return !t.second.done; });
             ready.emplace_back(!missed, pending.since, it->first);
@@ -551,6 +568,7 @@
             outcomes_[key].look = true;
         } else {
             written.push_back(key);
+            txn.urgency = written.size() == 1 && later ? Urgency::last : txn.urgency;
         }
     }
     if (txn.writes.empty()) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -178,6 +178,7 @@
     void failed(Machine& m, const Job& job);
     void forget_outcomes(const std::string& machine);
     bool due(const Job& job, const Block& block, const Pending& pending) const;
+    bool vacated(const Machine& m) const;
     const Outcome* outcome(const Job& job, int task) const;
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void note_empty(Machine& m) const;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -167,6 +167,7 @@
     next.members.push_back(me);
     joining_ = true;
     Txn txn;
+    txn.urgency = Urgency::first;
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}, {key, encode_member(me), lease_}};
     if (!ctx_.jobs.upgraded(ctx_.settings.name)) {
@@ -227,6 +228,7 @@
     }
     removing_ = true;
     Txn txn;
+    txn.urgency = Urgency::first;
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}};
     ctx_.txn(txn,
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -358,6 +358,7 @@
     while (!accepting_.empty() && accepts_open_ < constants::accepts_open) {
         std::vector<Acceptance> batch;
         Txn txn;
+        txn.urgency = Urgency::first;
         txn.conditions.push_back(ctx_.epoch_condition());
         Json jobs = Json::array();
         std::size_t room = ctx_.value_max() - std::min(ctx_.value_max(), listing_frame_bytes);
@@ -460,6 +461,7 @@
     }
     auto key = keys::follows(a->spec.uid, a->parts);
     Txn txn;
+    txn.urgency = Urgency::first;
     txn.conditions = {ctx_.epoch_condition(), {key, ctx_.jobs.revision_of(key)}};
     txn.writes = {{key, encode_follows(parts[n])}};
     ctx_.txn(std::move(txn), [this, a, parts = std::move(parts)](const StateReply& r) {
@@ -549,6 +551,7 @@
     // Claims are conditional on the record that is changed here, so that none can follow.
     double when = std::max(1.0, ctx_.now.wall);
     Txn txn;
+    txn.urgency = Urgency::first;
     txn.conditions = ctx_.jobs.alive(*job);
     txn.conditions.push_back(ctx_.epoch_condition());
     JobRecord record = job->record();
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -1,5 +1,7 @@
 #include "io/state_client.hpp"
 
+#include <algorithm>
+
 #include "core/constants.hpp"
 #include "wire/messages.hpp"
 
@@ -36,15 +38,24 @@
         w.deadline = 1e18;  // waits for its budget as long as it must
     }
     w.call = std::move(call);
-    bool first = w.call.kind == core::StateCall::Kind::renew;
-    if (first) {
-        queue_.push_front(std::move(w));  // a lease must not end behind a queue
-    } else {
-        queue_.push_back(std::move(w));
-    }
+    enqueue(std::move(w));
     pump();
 }
 
+// In order of urgency, and of equals behind those that came before: a lease must not end behind a
+// queue, and who waits for an answer comes before what nobody waits for. What is sent again goes
+// before its equals.
+void StateClient::enqueue(Waiting w) {
+    auto rank = [](const Waiting& x) {
+        return x.call.kind == core::StateCall::Kind::txn ? static_cast<int>(x.call.txn.urgency)
+                                                         : -1;
+    };
+    auto at = std::find_if(queue_.begin(), queue_.end(), [&](const Waiting& x) {
+        return w.tries > 0 ? rank(x) >= rank(w) : rank(x) > rank(w);
+    });
+    queue_.insert(at, std::move(w));
+}
+
 void StateClient::pump() {
     double t = loop_.now().steady;
     double wait = 1e18;
@@ -101,7 +112,7 @@
                            Waiting again = w;
                            again.tries++;
                            again.not_before = loop_.now().steady + again_s * again.tries;
-                           queue_.push_front(std::move(again));
+                           enqueue(std::move(again));
                            pump();
                            return;
                        }
--- a/src/io/state_client.hpp
+++ b/src/io/state_client.hpp
@@ -23,6 +23,7 @@
         double not_before = 0;
         int tries = 0;
     };
+    void enqueue(Waiting w);
     void pump();
     void send(const Waiting& w);
 
