--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -9,7 +9,8 @@
       fleet_(ctx_, members_, quota_),
       scheduler_(ctx_, members_, fleet_, quota_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
-      dependencies_(ctx_, members_, fleet_),
+      finals_(ctx_, members_),
+      dependencies_(ctx_, members_),
       requests_(ctx_, members_, fleet_, quota_, dependencies_),
       conversion_(ctx_) {
     members_.on_change = [this](bool epoch_changed, const std::optional<Epoch>& before) {
@@ -37,6 +38,7 @@
     conversion_.tick();
     dependencies_.tick();
     fleet_.tick();
+    finals_.tick();
     scheduler_.tick();
     quota_.tick();
     provisioner_.tick();
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -8,6 +8,7 @@
 #include "core/context.hpp"
 #include "core/conversion.hpp"
 #include "core/dependencies.hpp"
+#include "core/finals.hpp"
 #include "core/fleet.hpp"
 #include "core/membership.hpp"
 #include "core/provisioner.hpp"
@@ -57,6 +58,7 @@
     Fleet fleet_;
     Scheduler scheduler_;
     Provisioner provisioner_;
+    Finals finals_;
     Dependencies dependencies_;
     Requests requests_;
     Conversion conversion_;
--- a/src/core/dependencies.hpp
+++ b/src/core/dependencies.hpp
@@ -11,7 +11,6 @@
 
 #include "core/budget.hpp"
 #include "core/context.hpp"
-#include "core/fleet.hpp"
 #include "core/membership.hpp"
 
 namespace cranemoor::core {
@@ -20,10 +19,9 @@
   public:
     enum class End { open, done, cancelled };
 
-    Dependencies(Context& ctx, Membership& members, Fleet& fleet)
+    Dependencies(Context& ctx, const Membership& members)
         : ctx_(ctx),
           members_(members),
-          fleet_(fleet),
           look_ups_(ctx.settings.state_rps * constants::look_up_share,
                     ctx.settings.state_rps * constants::look_up_share) {}
 
@@ -46,8 +44,7 @@
     void remove_stray_parts();
 
     Context& ctx_;
-    Membership& members_;
-    Fleet& fleet_;
+    const Membership& members_;
     std::map<std::string, std::set<std::string>> waiting_;  // job, and what it still waits for
     std::map<std::string, std::set<std::string>> needed_by_;
     std::set<std::string> look_;     // jobs that wait and may be ready, or cancelled with another
--- /dev/null
+++ b/src/core/finals.cpp
@@ -0,0 +1,178 @@
+#include "core/finals.hpp"
+
+#include <algorithm>
+
+namespace cranemoor::core {
+
+// Adds a job's final state to a transaction, and the removal of its other blocks as far as there
+// is room for it; returns their keys. The final state takes the place of the first block: one write
+// for a job of one block, and every copy knows it without a read.
+std::vector<std::string> add_final(const Context& ctx, const Job& job, bool cancelled, Txn& txn) {
+    const auto& uid = job.spec.uid;
+    for (auto& condition : ctx.jobs.alive(job)) {
+        txn.conditions.push_back(std::move(condition));
+    }
+    const Block& first = job.first_record();
+    Block last;
+    last.attempt = first.attempt;
+    last.cancelled_wall = first.cancelled_wall;
+    last.final = Finished{cancelled, job.spec.tasks};
+    std::vector<std::string> changed = {keys::block(uid, 0)};
+    txn.conditions.push_back({changed.front(), first.revision});
+    txn.writes.push_back({changed.front(), encode(last)});
+    for (const auto& [key, revision] : job.other_records()) {
+        if (txn.writes.size() < ctx.ops_max()) {
+            changed.push_back(key);
+            txn.conditions.push_back({key, revision});
+            txn.writes.push_back({key, std::nullopt});
+        }
+    }
+    return changed;
+}
+
+// Ends the jobs that are over: by their final state, and by removing blocks that outlived them.
+// The leading member's.
+void Finals::finish_jobs() {
+    for (const auto& uid : ctx_.jobs.over()) {
+        if (finishing_.count(uid) != 0) {
+            continue;
+        }
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        bool busy = std::any_of(job.blocks.begin(), job.blocks.end(), [&](const auto& b) {
+            return ctx_.busy.count(job.block_key(b.first)) != 0;
+        });
+        if (busy) {
+            continue;
+        }
+        Txn txn;
+        txn.conditions.push_back(ctx_.epoch_condition());
+        if (job.revision != 0 && !job.final) {
+            // A cancellation stands even if the last task was done before it could be stopped:
+            // its user has been told.
+            add_final(ctx_, job, job.cancelled, txn);
+        } else {
+            auto left = job.other_records();
+            if (!job.final && job.first_record().revision != 0) {
+                left.emplace_back(keys::block(uid, 0), job.first_record().revision);
+            }
+            for (const auto& [key, at] : left) {
+                if (txn.writes.size() < ctx_.ops_max()) {
+                    txn.conditions.push_back({key, at});
+                    txn.writes.push_back({key, std::nullopt});
+                }
+            }
+        }
+        finishing_.insert(uid);
+        ctx_.txn(txn, [this, uid = uid](const StateReply& r) {
+            ctx_.when_settled(r, [this, uid] { finishing_.erase(uid); });
+        });
+    }
+}
+
+// Final states stay among the watched records, where every controller has them in memory, until
+// there are many; then the oldest are moved to keys of their own, which are read when somebody
+// asks. That costs two writes a job, at a time that is not the rush in which it ended.
+void Finals::move() {
+    auto keep = static_cast<std::size_t>(ctx_.tunables.final_states);
+    if (moving_ || ctx_.jobs.final_states().size() <= keep || !members_.in_contact() ||
+        ctx_.now.steady < next_move_) {
+        return;
+    }
+    // All of one record at once, so that it is written once: the oldest job says which.
+    std::size_t ops = ctx_.ops_max();
+    std::set<std::string> gone;
+    std::map<std::string, Jobs::Listing> changed;  // what is left of the records that list them
+    std::set<std::string> outgrown;  // records that can't be put again with less in them
+    std::size_t writes = 0;
+    auto add = [&](const std::string& uid) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        if (!job.final || !job.other_records().empty() || gone.count(uid) != 0) {
+            return;
+        }
+        auto next = changed;
+        for (const auto& [key, listing] : ctx_.jobs.listings()) {
+            if (listing.count(uid) != 0) {
+                if (ctx_.jobs.listing_bytes(key) > ctx_.value_max()) {
+                    outgrown.insert(key);
+                    return;
+                }
+                next.try_emplace(key, listing).first->second.erase(uid);
+            }
+        }
+        std::size_t own = job.own_record ? 1 : 0;
+        if (writes + 2 + own + next.size() > ops) {
+            return;
+        }
+        writes += 2 + own;
+        changed = std::move(next);
+        gone.insert(uid);
+    };
+    for (const auto& [revision, uid] : ctx_.jobs.final_states()) {
+        if (!gone.empty()) {
+            break;
+        }
+        add(uid);
+    }
+    auto records = changed;
+    for (const auto& [key, left] : records) {
+        for (const auto& uid : left) {
+            add(uid);
+        }
+    }
+    Txn txn;
+    txn.conditions.push_back(ctx_.epoch_condition());
+    if (gone.empty()) {
+        retire_listings(outgrown, txn);
+        if (txn.writes.empty()) {
+            next_move_ = ctx_.now.steady + constants::retire_every_s;
+            return;
+        }
+    }
+    for (const auto& uid : gone) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        auto key = keys::block(uid, 0);
+        txn.conditions.push_back({key, job.final_at});
+        txn.writes.push_back({key, std::nullopt});
+        txn.writes.push_back({keys::finished(uid), encode(*job.final)});
+        if (job.own_record) {
+            txn.writes.push_back({keys::job(uid), std::nullopt});
+        }
+    }
+    for (const auto& [key, left] : changed) {
+        Json jobs = Json::array();
+        for (const auto& uid : left) {
+            const Job& job = ctx_.jobs.jobs().at(uid);
+            jobs.push_back(encode(job.record()));
+        }
+        txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
+        auto value = left.empty() ? std::nullopt : std::optional(encode_listing(std::move(jobs)));
+        txn.writes.push_back({key, std::move(value)});
+    }
+    moving_ = true;
+    ctx_.txn(txn,
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { moving_ = false; }); });
+}
+
+// A record that lists more jobs than can be put again is removed whole, once all of them are over:
+// their final states stand in their blocks, as long as they are not moved away one by one.
+void Finals::retire_listings(const std::set<std::string>& keys, Txn& txn) const {
+    for (const auto& key : keys) {
+        const auto& listing = ctx_.jobs.listings().at(key);
+        bool over = std::all_of(listing.begin(), listing.end(), [&](const auto& uid) {
+            return ctx_.jobs.finished(uid) != nullptr;
+        });
+        if (over && txn.writes.size() < ctx_.ops_max()) {
+            txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
+            txn.writes.push_back({key, std::nullopt});
+        }
+    }
+}
+
+void Finals::tick() {
+    if (members_.leading()) {
+        finish_jobs();
+        move();
+    }
+}
+
+}  // namespace cranemoor::core
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -27,11 +27,6 @@
             return "exited";
     }
 }
-
-void append(Txn& txn, Txn more) {
-    std::move(more.conditions.begin(), more.conditions.end(), std::back_inserter(txn.conditions));
-    std::move(more.writes.begin(), more.writes.end(), std::back_inserter(txn.writes));
-}
 }  // namespace
 
 Machine* Fleet::find(const std::string& name) {
@@ -39,6 +34,11 @@
     return it == machines_.end() ? nullptr : &it->second;
 }
 
+const Machine* Fleet::find(const std::string& name) const {
+    auto it = machines_.find(name);
+    return it == machines_.end() ? nullptr : &it->second;
+}
+
 const MachineType* Fleet::type(const std::string& name) const {
     for (const auto& t : types_) {
         if (t.name == name) {
@@ -310,37 +310,8 @@
            !gang_broken(job);
 }
 
-// What is known of a task's end and not written yet.
-const Fleet::Outcome* Fleet::outcome(const Job& job, int task) const {
-    auto pending = outcomes_.find({job.spec.uid, job.block_of(task)});
-    if (pending == outcomes_.end()) {
-        return nullptr;
-    }
-    auto it = pending->second.tasks.find(task);
-    return it == pending->second.tasks.end() ? nullptr : &it->second;
-}
-
-void Fleet::conclude(const TaskId& id, const Outcome& outcome) {
-    const Job* job = ctx_.jobs.find(id.uid);
-    if (job == nullptr) {
-        return;
-    }
-    Pending& pending = outcomes_[{id.uid, job->block_of(id.index)}];
-    if (pending.tasks.empty()) {
-        pending.since = ctx_.now.steady;
-    }
-    auto it = pending.tasks.find(id.index);
-    if (it != pending.tasks.end() && it->second.attempt == outcome.attempt) {
-        return;
-    }
-    pending.tasks[id.index] = outcome;
-    pending.look = true;
-    ctx_.info("task {} attempt {} on {}: {}", id.text(), outcome.attempt, outcome.machine,
-              outcome.why);
-}
-
 void Fleet::exited(Machine& m, const TaskStatus& s) {
-    Outcome o;
+    Outcomes::Outcome o;
     o.attempt = s.attempt;
     o.machine = m.name;
     o.done = s.why == ExitReason::done;
@@ -350,9 +321,9 @@
     if (job == nullptr) {
         return;
     }
-    const Outcome* known = outcome(*job, s.id.index);
+    const Outcomes::Outcome* known = outcomes_.find(*job, s.id.index);
     bool again = known != nullptr && known->attempt == s.attempt;
-    conclude(s.id, o);
+    outcomes_.add(s.id, o);
     if (again) {
         return;
     }
@@ -361,7 +332,7 @@
         // and one write tells it.
         job->each_placement([&](int task, const Placement& p) {
             if (p.attempt == s.attempt) {
-                conclude({s.id.uid, task}, {p.attempt, true, "done", p.machine, false});
+                outcomes_.add({s.id.uid, task}, {p.attempt, true, "done", p.machine, false});
             }
             return true;
         });
@@ -433,25 +404,15 @@
         bool proof = from_report || m.run_sent.count(attempt) == 0;
         bool lost_gang = job->spec.kind == JobKind::gang && m.seen.count(attempt) != 0;
         if (proof && (lost_gang || !wants_start(m, *job))) {
-            Outcome o;
+            Outcomes::Outcome o;
             o.attempt = p->attempt;
             o.machine = m.name;
             o.why = lost_gang ? "lost" : "not started";
-            conclude(id, o);
+            outcomes_.add(id, o);
         }
     }
 }
 
-// A proof that a place is empty holds only while this process commands the machine: another
-// owner may start the very claim that was found absent. What could not be written by then must
-// never be, however true it was; the next owner sees for itself.
-void Fleet::forget_outcomes(const std::string& machine) {
-    for (auto& [key, pending] : outcomes_) {
-        std::erase_if(pending.tasks, [&](const auto& t) { return t.second.machine == machine; });
-    }
-}
-
-// Whether all that is placed there has ended, as far as its owner knows.
 bool Fleet::vacated(const Machine& m) const {
     const auto& placed = ctx_.jobs.on_machine(m.name);
     return std::all_of(placed.begin(), placed.end(), [&](const auto& t) {
@@ -460,351 +421,6 @@
     });
 }
 
-// Whether a block's outcomes should be written now. Its record is written whole, so that the ends
-// of several tasks cost one write: they are collected for a while. Nothing waits for them
-// meanwhile: a task that ended leaves its room at once, and the last one here to end writes them
-// all. What must start again, and what a team near its limit gives back, is urgent.
-bool Fleet::due(const Job& job, const Block& block, const Pending& pending) const {
-    double limit = job.cancelled ? constants::outcome_soon_s : constants::outcome_hold_s;
-    if (ctx_.now.steady - pending.since >= limit || job.spec.kind == JobKind::gang) {
-        return true;
-    }
-    for (const auto& [index, o] : pending.tasks) {
-        if (!o.done && !job.cancelled) {
-            return true;
-        }
-    }
-    const Team* team = quota_.team(job.spec.team);
-    if (team != nullptr &&
-        !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
-        return true;
-    }
-    // A machine that nothing else runs on is room for a gang, as soon as its members know.
-    for (const auto& [index, o] : pending.tasks) {
-        auto m = machines_.find(o.machine);
-        if (m != machines_.end() && vacated(m->second)) {
-            return true;
-        }
-    }
-    return std::none_of(block.placed.begin(), block.placed.end(), [&](const auto& t) {
-        auto m = machines_.find(t.second.machine);
-        return m != machines_.end() && m->second.mine && pending.tasks.count(t.first) == 0;
-    });
-}
-
-// Enters what is known of a block's ends and not written yet.
-void Fleet::add_outcomes(const Job& job, int k, Block& next) const {
-    auto pending = outcomes_.find({job.spec.uid, k});
-    if (pending == outcomes_.end()) {
-        return;
-    }
-    bool some_done = false;
-    bool some_error = false;
-    for (const auto& [index, outcome] : pending->second.tasks) {
-        auto p = next.placed.find(index);
-        if (p == next.placed.end() || p->second.attempt != outcome.attempt) {
-            continue;
-        }
-        next.placed.erase(p);
-        if (outcome.done) {
-            next.add_done(index);
-        }
-        some_done = some_done || outcome.done;
-        some_error = some_error || outcome.error;
-    }
-    next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
-}
-
-// Ends go out in the order in which they are missed, and only so many at once: while writes are
-// short they would wait anyway, and what is told meanwhile goes with them.
-void Fleet::flush() {
-    if (!ctx_.member) {
-        return;
-    }
-    std::vector<std::tuple<bool, double, std::pair<std::string, int>>> ready;
-    for (auto it = outcomes_.begin(); it != outcomes_.end();) {
-        const auto& [uid, k] = it->first;
-        auto& pending = it->second;
-        auto& tasks = pending.tasks;
-        bool waited = ctx_.now.steady - pending.since >= constants::outcome_soon_s;
-        if (!pending.look && !waited) {
-            ++it;
-            continue;
-        }
-        const Job* job = ctx_.jobs.find(uid);
-        if (job != nullptr && k >= job->block_count()) {
-            job = nullptr;  // numbered as before the job was parted: it will be seen again
-        }
-        if (job != nullptr && pending.look) {
-            // Drop what the records say already.
-            const auto& placed = job->block(k).placed;
-            std::erase_if(tasks, [&](const auto& t) {
-                auto p = placed.find(t.first);
-                return p == placed.end() || p->second.attempt != t.second.attempt;
-            });
-        }
-        if (job == nullptr || tasks.empty()) {
-            it = outcomes_.erase(it);
-            continue;
-        }
-        pending.look = false;
-        if (due(*job, job->block(k), pending)) {
-            bool missed = job->cancelled || job->spec.kind == JobKind::gang ||
-                          job->done() + static_cast<int>(tasks.size()) >= job->spec.tasks ||
-                          std::any_of(tasks.begin(), tasks.end(),
-                                      [](const auto& t) { return !t.second.done; });
-            ready.emplace_back(!missed, pending.since, it->first);
-        }
-        ++it;
-    }
-    std::sort(ready.begin(), ready.end());
-    Txn txn;
-    std::vector<std::string> taken;
-    std::vector<std::pair<std::string, int>> written;
-    bool full = false;
-    for (const auto& [later, since, key] : ready) {
-        full = full || ends_open_ + written.size() >= constants::ends_open;
-        if (full || !add_ends(key, txn, taken)) {
-            outcomes_[key].look = true;
-        } else {
-            written.push_back(key);
-            txn.urgency = written.size() == 1 && later ? Urgency::last : txn.urgency;
-        }
-    }
-    if (txn.writes.empty()) {
-        return;
-    }
-    txn.conditions.push_back(ctx_.epoch_condition());
-    ends_open_ += written.size();
-    ctx_.txn(txn, [this, taken, written](const StateReply& r) {
-        // Refused or unknown: the next tick tries again. If the first one is executed late, its
-        // conditions fail or it says the same.
-        ends_open_ -= written.size();
-        ctx_.when_settled(r, [this, taken, written] {
-            for (const auto& key : taken) {
-                ctx_.busy.erase(key);
-            }
-            for (const auto& key : written) {
-                if (auto it = outcomes_.find(key); it != outcomes_.end()) {
-                    it->second.look = true;
-                }
-            }
-        });
-    });
-}
-
-// Adds the ends of one block's tasks to a transaction, if it takes them now.
-bool Fleet::add_ends(const std::pair<std::string, int>& which, Txn& txn,
-                     std::vector<std::string>& taken) {
-    const auto& [uid, k] = which;
-    const Job& job = *ctx_.jobs.find(uid);
-    auto key = job.block_key(k);
-    if (ctx_.busy.count(key) != 0) {
-        return false;
-    }
-    const Block& old = job.block(k);
-    Block next = old;
-    add_outcomes(job, k, next);
-    int done = job.done() + next.done_count() - old.done_count();
-    bool completes = done == job.spec.tasks && !job.cancelled;
-    // Else finish_jobs does it once the blocks are written.
-    completes = completes && 1 + job.other_records().size() <= ctx_.ops_max();
-    for (const auto& [other, b] : job.blocks) {
-        completes = completes && ctx_.busy.count(job.block_key(other)) == 0;
-    }
-    if (!completes && bytes_of(next) > ctx_.value_max()) {
-        // Written by the version before, under a larger limit.
-        bool bearable = !ctx_.upgraded() && bytes_of(next) <= ctx_.value_max_today();
-        if (!bearable) {
-            ctx_.to_part.insert(uid);
-            return false;
-        }
-    }
-    Txn more;
-    std::vector<std::string> changed = {key};
-    if (completes) {
-        changed = add_final(job, false, more);
-    } else {
-        job.add_block(k, next, more);
-    }
-    // One more condition is the epoch's.
-    if (txn.writes.size() + more.writes.size() > ctx_.ops_max() ||
-        txn.conditions.size() + more.conditions.size() + 1 > ctx_.conditions_max()) {
-        return false;
-    }
-    append(txn, std::move(more));
-    ctx_.busy.insert(changed.begin(), changed.end());
-    taken.insert(taken.end(), changed.begin(), changed.end());
-    return true;
-}
-
-// Adds a job's final state to a transaction, and the removal of its other blocks as far as there
-// is room for it; returns their keys. The final state takes the place of the first block: one write
-// for a job of one block, and every copy knows it without a read.
-std::vector<std::string> Fleet::add_final(const Job& job, bool cancelled, Txn& txn) const {
-    const auto& uid = job.spec.uid;
-    for (auto& condition : ctx_.jobs.alive(job)) {
-        txn.conditions.push_back(std::move(condition));
-    }
-    const Block& first = job.first_record();
-    Block last;
-    last.attempt = first.attempt;
-    last.cancelled_wall = first.cancelled_wall;
-    last.final = Finished{cancelled, job.spec.tasks};
-    std::vector<std::string> changed = {keys::block(uid, 0)};
-    txn.conditions.push_back({changed.front(), first.revision});
-    txn.writes.push_back({changed.front(), encode(last)});
-    for (const auto& [key, revision] : job.other_records()) {
-        if (txn.writes.size() < ctx_.ops_max()) {
-            changed.push_back(key);
-            txn.conditions.push_back({key, revision});
-            txn.writes.push_back({key, std::nullopt});
-        }
-    }
-    return changed;
-}
-
-// Ends the jobs that are over: by their final state, and by removing blocks that outlived them.
-// The leading member's.
-void Fleet::finish_jobs() {
-    if (!members_.leading()) {
-        return;
-    }
-    for (const auto& uid : ctx_.jobs.over()) {
-        if (finishing_.count(uid) != 0) {
-            continue;
-        }
-        const Job& job = ctx_.jobs.jobs().at(uid);
-        bool busy = std::any_of(job.blocks.begin(), job.blocks.end(), [&](const auto& b) {
-            return ctx_.busy.count(job.block_key(b.first)) != 0;
-        });
-        if (busy) {
-            continue;
-        }
-        Txn txn;
-        txn.conditions.push_back(ctx_.epoch_condition());
-        if (job.revision != 0 && !job.final) {
-            // A cancellation stands even if the last task was done before it could be stopped:
-            // its user has been told.
-            add_final(job, job.cancelled, txn);
-        } else {
-            auto left = job.other_records();
-            if (!job.final && job.first_record().revision != 0) {
-                left.emplace_back(keys::block(uid, 0), job.first_record().revision);
-            }
-            for (const auto& [key, at] : left) {
-                if (txn.writes.size() < ctx_.ops_max()) {
-                    txn.conditions.push_back({key, at});
-                    txn.writes.push_back({key, std::nullopt});
-                }
-            }
-        }
-        finishing_.insert(uid);
-        ctx_.txn(txn, [this, uid = uid](const StateReply& r) {
-            ctx_.when_settled(r, [this, uid] { finishing_.erase(uid); });
-        });
-    }
-}
-
-// Final states stay among the watched records, where every controller has them in memory, until
-// there are many; then the oldest are moved to keys of their own, which are read when somebody
-// asks. That costs two writes a job, at a time that is not the rush in which it ended.
-void Fleet::move_final_states() {
-    auto keep = static_cast<std::size_t>(ctx_.tunables.final_states);
-    if (!members_.leading() || moving_ || ctx_.jobs.final_states().size() <= keep ||
-        !members_.in_contact() || ctx_.now.steady < next_move_) {
-        return;
-    }
-    // All of one record at once, so that it is written once: the oldest job says which.
-    std::size_t ops = ctx_.ops_max();
-    std::set<std::string> gone;
-    std::map<std::string, Jobs::Listing> changed;  // what is left of the records that list them
-    std::set<std::string> outgrown;  // records that can't be put again with less in them
-    std::size_t writes = 0;
-    auto add = [&](const std::string& uid) {
-        const Job& job = ctx_.jobs.jobs().at(uid);
-        if (!job.final || !job.other_records().empty() || gone.count(uid) != 0) {
-            return;
-        }
-        auto next = changed;
-        for (const auto& [key, listing] : ctx_.jobs.listings()) {
-            if (listing.count(uid) != 0) {
-                if (ctx_.jobs.listing_bytes(key) > ctx_.value_max()) {
-                    outgrown.insert(key);
-                    return;
-                }
-                next.try_emplace(key, listing).first->second.erase(uid);
-            }
-        }
-        std::size_t own = job.own_record ? 1 : 0;
-        if (writes + 2 + own + next.size() > ops) {
-            return;
-        }
-        writes += 2 + own;
-        changed = std::move(next);
-        gone.insert(uid);
-    };
-    for (const auto& [revision, uid] : ctx_.jobs.final_states()) {
-        if (!gone.empty()) {
-            break;
-        }
-        add(uid);
-    }
-    auto records = changed;
-    for (const auto& [key, left] : records) {
-        for (const auto& uid : left) {
-            add(uid);
-        }
-    }
-    Txn txn;
-    txn.conditions.push_back(ctx_.epoch_condition());
-    if (gone.empty()) {
-        retire_listings(outgrown, txn);
-        if (txn.writes.empty()) {
-            next_move_ = ctx_.now.steady + constants::retire_every_s;
-            return;
-        }
-    }
-    for (const auto& uid : gone) {
-        const Job& job = ctx_.jobs.jobs().at(uid);
-        auto key = keys::block(uid, 0);
-        txn.conditions.push_back({key, job.final_at});
-        txn.writes.push_back({key, std::nullopt});
-        txn.writes.push_back({keys::finished(uid), encode(*job.final)});
-        if (job.own_record) {
-            txn.writes.push_back({keys::job(uid), std::nullopt});
-        }
-    }
-    for (const auto& [key, left] : changed) {
-        Json jobs = Json::array();
-        for (const auto& uid : left) {
-            const Job& job = ctx_.jobs.jobs().at(uid);
-            jobs.push_back(encode(job.record()));
-        }
-        txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
-        auto value = left.empty() ? std::nullopt : std::optional(encode_listing(std::move(jobs)));
-        txn.writes.push_back({key, std::move(value)});
-    }
-    moving_ = true;
-    ctx_.txn(txn,
-             [this](const StateReply& r) { ctx_.when_settled(r, [this] { moving_ = false; }); });
-}
-
-// A record that lists more jobs than can be put again is removed whole, once all of them are over:
-// their final states stand in their blocks, as long as they are not moved away one by one.
-void Fleet::retire_listings(const std::set<std::string>& keys, Txn& txn) const {
-    for (const auto& key : keys) {
-        const auto& listing = ctx_.jobs.listings().at(key);
-        bool over = std::all_of(listing.begin(), listing.end(), [&](const auto& uid) {
-            return ctx_.jobs.finished(uid) != nullptr;
-        });
-        if (over && txn.writes.size() < ctx_.ops_max()) {
-            txn.conditions.push_back({key, ctx_.jobs.revision_of(key)});
-            txn.writes.push_back({key, std::nullopt});
-        }
-    }
-}
-
 // --- answers ------------------------------------------------------------------------------
 
 void Fleet::answer(Machine& m) {
@@ -851,7 +467,7 @@
                 continue;
             }
             Attempt attempt{id, p->attempt};
-            bool ending = outcome(*on.job, id.index) != nullptr;
+            bool ending = outcomes_.find(*on.job, id.index) != nullptr;
             if (m.tasks.count(attempt) != 0 || live.count(id) != 0 || ending) {
                 continue;
             }
@@ -975,7 +591,7 @@
         }
         m.mine = mine;
         m.adopted = false;
-        forget_outcomes(name);
+        outcomes_.forget(name);
         m.run_sent.clear();
         m.seen.clear();
         m.stops.clear();
@@ -1259,10 +875,7 @@
         settle(*m);
     }
     for (const auto& uid : touched) {
-        for (auto it = outcomes_.lower_bound({uid, 0});
-             it != outcomes_.end() && it->first.first == uid; ++it) {
-            it->second.look = true;
-        }
+        outcomes_.look_again(uid);
         const Job* job = ctx_.jobs.find(uid);
         if (job == nullptr) {
             failures_.erase(uid);
@@ -1290,7 +903,7 @@
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
         for (const auto& name : marks.gone) {
             for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
-                conclude(id, {on.place->attempt, false, "machine gone", name, false});
+                outcomes_.add(id, {on.place->attempt, false, "machine gone", name, false});
             }
         }
     }
@@ -1303,9 +916,7 @@
         next_sweep_ = ctx_.now.steady + constants::sweep_every_s;
         sweep();
     }
-    flush();
-    finish_jobs();
-    move_final_states();
+    outcomes_.flush();
     settle_answers();
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -12,6 +12,7 @@
 
 #include "core/context.hpp"
 #include "core/membership.hpp"
+#include "core/outcomes.hpp"
 #include "core/quota.hpp"
 
 namespace cranemoor::core {
@@ -83,7 +84,7 @@
 class Fleet {
   public:
     Fleet(Context& ctx, Membership& members, const Quota& quota)
-        : ctx_(ctx), members_(members), quota_(quota) {}
+        : ctx_(ctx), members_(members), outcomes_(ctx, quota, *this) {}
 
     // A report; relayed ones came over a peer and are never passed on again.
     void report(std::uint64_t request, const Report& report, bool relayed);
@@ -96,6 +97,7 @@
 
     std::map<std::string, Machine>& machines() { return machines_; }
     Machine* find(const std::string& name);
+    const Machine* find(const std::string& name) const;
     const MachineType* type(const std::string& name) const;
     const std::vector<MachineType>& types() const { return types_; }
     // Images by number: comparing names on every look would cost more than all the rest.
@@ -133,29 +135,13 @@
     double silence_s() const;
     // When a task's placement was first seen here.
     double placed_at(const TaskId& id) const;
-    // Writes what was observed and is due.
-    void flush();
     static bool gang_broken(const Job& job);
-    void add_outcomes(const Job& job, int k, Block& next) const;
-    std::vector<std::string> add_final(const Job& job, bool cancelled, Txn& txn) const;
-    void finish_jobs();
-    void move_final_states();
+    // Whether all that is placed there has ended, as far as its owner knows.
+    bool vacated(const Machine& m) const;
+    const Outcomes& outcomes() const { return outcomes_; }
     void conclude_gone();
 
   private:
-    struct Outcome {
-        std::uint64_t attempt = 0;
-        bool done = false;
-        std::string why;
-        std::string machine;
-        bool error = false;  // the task itself failed
-    };
-    // Outcomes of one block's tasks that are not written yet.
-    struct Pending {
-        std::map<int, Outcome> tasks;
-        double since = 0;  // of the oldest
-        bool look = true;  // whether something changed since it was last looked at
-    };
     // What this process makes of a job's failures, which stand in its blocks.
     struct Failures {
         int count = 0;
@@ -164,7 +150,6 @@
 
     void take_in(Machine& m, const Report& r);
     void observe(Machine& m, bool from_report);
-    void conclude(const TaskId& id, const Outcome& outcome);
     void exited(Machine& m, const TaskStatus& s);
     bool wants_start(const Machine& m, const Job& job) const;
     void raise_token(Machine& m, int tries);
@@ -176,29 +161,20 @@
     void note_arrival(const std::string& uid, const Job& job);
     void note_failures(const std::string& uid, const Job& job);
     void failed(Machine& m, const Job& job);
-    void forget_outcomes(const std::string& machine);
-    bool due(const Job& job, const Block& block, const Pending& pending) const;
-    bool vacated(const Machine& m) const;
-    const Outcome* outcome(const Job& job, int task) const;
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void note_empty(Machine& m) const;
     void sweep();
     bool cut_from_workers(int mine) const;
     void raise_tokens();
     void write_marks();
-    bool add_ends(const std::pair<std::string, int>& which, Txn& txn,
-                  std::vector<std::string>& taken);
-    void retire_listings(const std::set<std::string>& keys, Txn& txn) const;
 
     Context& ctx_;
     Membership& members_;
-    const Quota& quota_;
+    Outcomes outcomes_;
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
     mutable std::unordered_map<std::string, int> image_numbers_;
     std::set<std::string> asking_;  // machines whose report waits for its answer
-    std::map<std::pair<std::string, int>, Pending> outcomes_;  // by job and block
-    std::size_t ends_open_ = 0;  // blocks whose ends are on their way to the records
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
     // submission time and machines of such jobs
@@ -211,9 +187,6 @@
     double last_direct_ = -1e9;  // report of a machine of ours, from itself
     double last_relayed_ = -1e9;
     std::map<std::string, double> redirected_;
-    std::set<std::string> finishing_;
-    bool moving_ = false;  // final states, to keys of their own
-    double next_move_ = 0;
 };
 
 }  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/outcomes.cpp
@@ -0,0 +1,241 @@
+#include "core/outcomes.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+#include "core/finals.hpp"
+#include "core/fleet.hpp"
+
+namespace cranemoor::core {
+
+namespace {
+void append(Txn& txn, Txn more) {
+    std::move(more.conditions.begin(), more.conditions.end(), std::back_inserter(txn.conditions));
+    std::move(more.writes.begin(), more.writes.end(), std::back_inserter(txn.writes));
+}
+}  // namespace
+
+// What is known of a task's end and not written yet.
+const Outcomes::Outcome* Outcomes::find(const Job& job, int task) const {
+    auto pending = pending_.find({job.spec.uid, job.block_of(task)});
+    if (pending == pending_.end()) {
+        return nullptr;
+    }
+    auto it = pending->second.tasks.find(task);
+    return it == pending->second.tasks.end() ? nullptr : &it->second;
+}
+
+void Outcomes::add(const TaskId& id, const Outcome& outcome) {
+    const Job* job = ctx_.jobs.find(id.uid);
+    if (job == nullptr) {
+        return;
+    }
+    Pending& pending = pending_[{id.uid, job->block_of(id.index)}];
+    if (pending.tasks.empty()) {
+        pending.since = ctx_.now.steady;
+    }
+    auto it = pending.tasks.find(id.index);
+    if (it != pending.tasks.end() && it->second.attempt == outcome.attempt) {
+        return;
+    }
+    pending.tasks[id.index] = outcome;
+    pending.look = true;
+    ctx_.info("task {} attempt {} on {}: {}", id.text(), outcome.attempt, outcome.machine,
+              outcome.why);
+}
+
+void Outcomes::look_again(const std::string& uid) {
+    for (auto it = pending_.lower_bound({uid, 0}); it != pending_.end() && it->first.first == uid;
+         ++it) {
+        it->second.look = true;
+    }
+}
+
+// A proof that a place is empty holds only while this process commands the machine: another
+// owner may start the very claim that was found absent. What could not be written by then must
+// never be, however true it was; the next owner sees for itself.
+void Outcomes::forget(const std::string& machine) {
+    for (auto& [key, pending] : pending_) {
+        std::erase_if(pending.tasks, [&](const auto& t) { return t.second.machine == machine; });
+    }
+}
+
+// Whether a block's outcomes should be written now. Its record is written whole, so that the ends
+// of several tasks cost one write: they are collected for a while. Nothing waits for them
+// meanwhile: a task that ended leaves its room at once, and the last one here to end writes them
+// all. What must start again, and what a team near its limit gives back, is urgent.
+bool Outcomes::due(const Job& job, const Block& block, const Pending& pending) const {
+    double limit = job.cancelled ? constants::outcome_soon_s : constants::outcome_hold_s;
+    if (ctx_.now.steady - pending.since >= limit || job.spec.kind == JobKind::gang) {
+        return true;
+    }
+    for (const auto& [index, o] : pending.tasks) {
+        if (!o.done && !job.cancelled) {
+            return true;
+        }
+    }
+    const Team* team = quota_.team(job.spec.team);
+    if (team != nullptr &&
+        !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
+        return true;
+    }
+    // A machine that nothing else runs on is room for a gang, as soon as its members know.
+    for (const auto& [index, o] : pending.tasks) {
+        const Machine* m = fleet_.find(o.machine);
+        if (m != nullptr && fleet_.vacated(*m)) {
+            return true;
+        }
+    }
+    return std::none_of(block.placed.begin(), block.placed.end(), [&](const auto& t) {
+        const Machine* m = fleet_.find(t.second.machine);
+        return m != nullptr && m->mine && pending.tasks.count(t.first) == 0;
+    });
+}
+
+// Enters what is known of a block's ends and not written yet.
+void Outcomes::enter(const Job& job, int k, Block& next) const {
+    auto pending = pending_.find({job.spec.uid, k});
+    if (pending == pending_.end()) {
+        return;
+    }
+    bool some_done = false;
+    bool some_error = false;
+    for (const auto& [index, outcome] : pending->second.tasks) {
+        auto p = next.placed.find(index);
+        if (p == next.placed.end() || p->second.attempt != outcome.attempt) {
+            continue;
+        }
+        next.placed.erase(p);
+        if (outcome.done) {
+            next.add_done(index);
+        }
+        some_done = some_done || outcome.done;
+        some_error = some_error || outcome.error;
+    }
+    next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
+}
+
+// Ends go out in the order in which they are missed, and only so many at once: while writes are
+// short they would wait anyway, and what is told meanwhile goes with them.
+void Outcomes::flush() {
+    if (!ctx_.member) {
+        return;
+    }
+    std::vector<std::tuple<bool, double, std::pair<std::string, int>>> ready;
+    for (auto it = pending_.begin(); it != pending_.end();) {
+        const auto& [uid, k] = it->first;
+        auto& pending = it->second;
+        auto& tasks = pending.tasks;
+        bool waited = ctx_.now.steady - pending.since >= constants::outcome_soon_s;
+        if (!pending.look && !waited) {
+            ++it;
+            continue;
+        }
+        const Job* job = ctx_.jobs.find(uid);
+        if (job != nullptr && k >= job->block_count()) {
+            job = nullptr;  // numbered as before the job was parted: it will be seen again
+        }
+        if (job != nullptr && pending.look) {
+            // Drop what the records say already.
+            const auto& placed = job->block(k).placed;
+            std::erase_if(tasks, [&](const auto& t) {
+                auto p = placed.find(t.first);
+                return p == placed.end() || p->second.attempt != t.second.attempt;
+            });
+        }
+        if (job == nullptr || tasks.empty()) {
+            it = pending_.erase(it);
+            continue;
+        }
+        pending.look = false;
+        if (due(*job, job->block(k), pending)) {
+            bool missed = job->cancelled || job->spec.kind == JobKind::gang ||
+                          job->done() + static_cast<int>(tasks.size()) >= job->spec.tasks ||
+                          std::any_of(tasks.begin(), tasks.end(),
+                                      [](const auto& t) { return !t.second.done; });
+            ready.emplace_back(!missed, pending.since, it->first);
+        }
+        ++it;
+    }
+    std::sort(ready.begin(), ready.end());
+    Txn txn;
+    std::vector<std::string> taken;
+    std::vector<std::pair<std::string, int>> written;
+    bool full = false;
+    for (const auto& [later, since, key] : ready) {
+        full = full || ends_open_ + written.size() >= constants::ends_open;
+        if (full || !add_ends(key, txn, taken)) {
+            pending_[key].look = true;
+        } else {
+            written.push_back(key);
+            txn.urgency = written.size() == 1 && later ? Urgency::last : txn.urgency;
+        }
+    }
+    if (txn.writes.empty()) {
+        return;
+    }
+    txn.conditions.push_back(ctx_.epoch_condition());
+    ends_open_ += written.size();
+    ctx_.txn(txn, [this, taken, written](const StateReply& r) {
+        // Refused or unknown: the next tick tries again. If the first one is executed late, its
+        // conditions fail or it says the same.
+        ends_open_ -= written.size();
+        ctx_.when_settled(r, [this, taken, written] {
+            for (const auto& key : taken) {
+                ctx_.busy.erase(key);
+            }
+            for (const auto& key : written) {
+                if (auto it = pending_.find(key); it != pending_.end()) {
+                    it->second.look = true;
+                }
+            }
+        });
+    });
+}
+
+// Adds the ends of one block's tasks to a transaction, if it takes them now.
+bool Outcomes::add_ends(const std::pair<std::string, int>& which, Txn& txn,
+                        std::vector<std::string>& taken) {
+    const auto& [uid, k] = which;
+    const Job& job = *ctx_.jobs.find(uid);
+    auto key = job.block_key(k);
+    if (ctx_.busy.count(key) != 0) {
+        return false;
+    }
+    const Block& old = job.block(k);
+    Block next = old;
+    enter(job, k, next);
+    int done = job.done() + next.done_count() - old.done_count();
+    bool completes = done == job.spec.tasks && !job.cancelled;
+    // Else finish_jobs does it once the blocks are written.
+    completes = completes && 1 + job.other_records().size() <= ctx_.ops_max();
+    for (const auto& [other, b] : job.blocks) {
+        completes = completes && ctx_.busy.count(job.block_key(other)) == 0;
+    }
+    if (!completes && bytes_of(next) > ctx_.value_max()) {
+        // Written by the version before, under a larger limit.
+        bool bearable = !ctx_.upgraded() && bytes_of(next) <= ctx_.value_max_today();
+        if (!bearable) {
+            ctx_.to_part.insert(uid);
+            return false;
+        }
+    }
+    Txn more;
+    std::vector<std::string> changed = {key};
+    if (completes) {
+        changed = add_final(ctx_, job, false, more);
+    } else {
+        job.add_block(k, next, more);
+    }
+    // One more condition is the epoch's.
+    if (txn.writes.size() + more.writes.size() > ctx_.ops_max() ||
+        txn.conditions.size() + more.conditions.size() + 1 > ctx_.conditions_max()) {
+        return false;
+    }
+    append(txn, std::move(more));
+    ctx_.busy.insert(changed.begin(), changed.end());
+    taken.insert(taken.end(), changed.begin(), changed.end());
+    return true;
+}
+
+}  // namespace cranemoor::core
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -466,7 +466,7 @@
         }
         // The record is written whole: ends that wait to be told go with it.
         Block next = now;
-        fleet_.add_outcomes(job, k, next);
+        fleet_.outcomes().enter(job, k, next);
         next.attempt++;
         std::size_t bytes = bytes_of(next);
         std::vector<std::pair<int, Offer*>> places;
