--- a/src/core/outcomes.cpp
+++ b/src/core/outcomes.cpp
@@ -79,10 +79,11 @@
         !quota_.within_limit(team->name, team->limit * constants::slice_return_share)) {
         return true;
     }
-    // A machine that nothing else runs on is room for a gang, as soon as its members know.
+    // A machine that nothing else runs on is room for a gang, as soon as all members know. On one
+    // that goes, what is not told in time would be taken for lost.
     for (const auto& [index, o] : pending.tasks) {
         const Machine* m = fleet_.find(o.machine);
-        if (m != nullptr && fleet_.vacated(*m)) {
+        if (m != nullptr && (fleet_.vacated(*m) || m->notice_until || ctx_.jobs.mark(m->name))) {
             return true;
         }
     }
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -201,12 +201,12 @@
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
         // Gone as all marks together have it. A record that says so for another one stays as long
         // as that one.
-        bool settled =
-            std::all_of(marks.machines.begin(), marks.machines.end(), [&](const auto& n) {
-                const Mark* mark = ctx_.jobs.mark(n);
-                bool needed = marks.gone.count(n) != 0 && not_said(key, n);
-                return mark != nullptr && mark->gone && !needed;
-            });
+        bool settled = true;
+        for (const auto& name : marks.machines) {
+            const Mark* mark = ctx_.jobs.mark(name);
+            bool needed = marks.gone.count(name) != 0 && not_said(key, name);
+            settled = settled && mark != nullptr && mark->gone && !needed;
+        }
         if (!settled) {
             continue;
         }
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -372,12 +372,21 @@
             const auto& uid = a.spec.uid;
             JobRecord record = new_record(a);
             if (record.waiting && a.parts == 0 && bytes_of(record) > ctx_.value_max()) {
-                write_parts(std::move(a));
+                Acceptance long_one = std::move(a);
                 accepting_.pop_front();
+                write_parts(long_one);
                 continue;
             }
             bool own = record.waiting || a.spec.tasks > record.block_size;
             Json value = encode(record);
+            if (value.dump().size() > ctx_.value_max()) {
+                // Names of hundreds of odd letters: no record of it can be kept.
+                for (auto request : a.requests) {
+                    reply(request, 422, uid, "", "the job's description is too long");
+                }
+                accepting_.pop_front();
+                continue;
+            }
             std::size_t bytes = own ? 0 : value.dump().size() + 1;
             // Of a listing there is one write more.
             std::size_t writes =
@@ -436,7 +445,7 @@
 
 // A long list of followed jobs is written before the record that accepts the job, a part in each
 // write. Without that record the parts mean nothing, and are removed after a while.
-void Requests::write_parts(Acceptance a) {
+void Requests::write_parts(const Acceptance& a) {
     std::size_t room = ctx_.value_max() - std::min(ctx_.value_max() / 2, listing_frame_bytes);
     std::vector<std::vector<std::string>> parts(1);
     std::size_t bytes = 0;
@@ -448,7 +457,7 @@
         bytes += other.size() + 3;
         parts.back().push_back(other);
     }
-    write_part(std::make_shared<Acceptance>(std::move(a)), std::move(parts));
+    write_part(std::make_shared<Acceptance>(a), std::move(parts));
 }
 
 void Requests::write_part(std::shared_ptr<Acceptance> a,
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -266,6 +266,12 @@
     if (!f.ok() || !valid_uid(s.uid)) {
         return Invalid{std::nullopt, "field missing or invalid: uid"};
     }
+    try {
+        // Guards against text that is no UTF-8: no record could keep it.
+        (void)value->dump();
+    } catch (const Json::type_error&) {
+        return Invalid{s.uid, "not UTF-8"};
+    }
     s.job_class = f.text("flock");
     s.team = f.text("crew");
     s.kind = f.choice("gait", kinds);
--- a/tests/change_test.cpp
+++ b/tests/change_test.cpp
@@ -15,7 +15,7 @@
 // --- dependent jobs -----------------------------------------------------------------------
 
 struct Chain : Three {
-    JobSpec after(int number, std::vector<int> others, JobKind kind = JobKind::array,
+    JobSpec after(int number, const std::vector<int>& others, JobKind kind = JobKind::array,
                   int tasks = 1) {
         auto spec = w.job(number, kind, tasks);
         for (int o : others) {
@@ -578,6 +578,9 @@
     EXPECT_EQ(w.submit_and_wait(0, w.job(1, JobKind::array, 150)).status, 201);
     EXPECT_EQ(w.submit_and_wait(1, w.job(2, JobKind::gang, 8)).status, 201);
     EXPECT_EQ(w.submit_and_wait(2, wide).status, 201);
+    auto odd = w.job(4);
+    odd.job_class = odd.image = std::string(200, '\x01');  // six bytes each in JSON
+    EXPECT_EQ(w.submit_and_wait(2, odd).status, 422);
     for (int n = 10; n < 60; ++n) {
         w.submit(n % 3, w.job(n));
     }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -57,6 +57,23 @@
     EXPECT_EQ(s.max_connections, 1800);
 }
 
+TEST(Settings, AnnouncedLimitsAreKeptToFromTheStart) {
+    auto s = parse_settings(good, "s.toml");
+    EXPECT_EQ(s.state_value_kb, s.state_value_kb_today);
+    auto next = good + "[settings.state.next]\nwrite_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
+    s = parse_settings(next, "s.toml");
+    EXPECT_EQ(s.state_write_rps, 35.0);
+    EXPECT_EQ(s.state_value_kb, 2.0);
+    EXPECT_EQ(s.state_value_kb_today, 8.0);
+    EXPECT_EQ(s.state_txn_ops, 4);
+    // Only what is announced, and only what is smaller.
+    s = parse_settings(good + "[settings.state.next]\nvalue_kb = 64\n", "s.toml");
+    EXPECT_EQ(s.state_value_kb, 8.0);
+    EXPECT_EQ(s.state_txn_ops, 12);
+    EXPECT_NE(error_of(good + "[settings.state.next]\ntxn_ops = 1\n").find("txn_ops"),
+              std::string::npos);
+}
+
 TEST(Settings, AMissingOrWrongFieldIsNamedInOneLine) {
     for (const char* line : {"node_name = \"n0\"", "lease_s = 24.0", "txn_ops = 12",
                              "cloud = \"127.0.0.1:4\"", "zones = [\"a\", \"b\"]"}) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -77,6 +77,35 @@
     }
 }
 
+TEST(Wire, WhatAJobFollowsIsAListOfJobs) {
+    auto v = submission();
+    for (const Json& none : {Json(nullptr), Json::array()}) {
+        v["follows"] = none;
+        EXPECT_TRUE(std::get<JobSpec>(read_submission(encode(v))).follows.empty());
+    }
+    v["follows"] = {"req-000405", "req-000398", "req-000405"};
+    std::vector<std::string> once = {"req-000398", "req-000405"};
+    EXPECT_EQ(std::get<JobSpec>(read_submission(encode(v))).follows, once);
+    for (const Json& wrong :
+         {Json("req-000398"), Json({1}), Json({"req-000398", ""}), Json({"000398"})}) {
+        v["follows"] = wrong;
+        auto read = read_submission(encode(v));
+        ASSERT_TRUE(std::holds_alternative<Invalid>(read)) << wrong;
+        EXPECT_EQ(std::get<Invalid>(read).error, "field missing or invalid: follows");
+        EXPECT_EQ(std::get<Invalid>(read).uid, "req-000412");
+    }
+}
+
+TEST(Wire, TextThatIsNoUtf8IsRefused) {
+    // Such a text once ended the process: it can be written into no record.
+    auto v = submission();
+    v["flock"] = "\xff\xfe";
+    auto read = read_submission(encode(v));
+    ASSERT_TRUE(std::holds_alternative<Invalid>(read));
+    EXPECT_EQ(std::get<Invalid>(read).error, "not UTF-8");
+    EXPECT_EQ(std::get<Invalid>(read).uid, "req-000412");
+}
+
 TEST(Wire, WhatIsNotCborIsRefusedHoweverDeep) {
     EXPECT_FALSE(decode(""));
     EXPECT_FALSE(decode("{\"uid\":1}"));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -252,8 +252,8 @@
         return r;
     }
     for (const auto& w : call.txn.writes) {
-        if (w.value &&
-            w.value->dump().size() > value_kb.value_or(settings.state_value_kb_today) * 1024) {
+        if (w.value && static_cast<double>(w.value->dump().size()) >
+                           value_kb.value_or(settings.state_value_kb_today) * 1024) {
             broken.push_back("value too large: " + w.key);
             r.status = StateReply::Status::bad;
             return r;
