--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -42,11 +42,15 @@
 
 void Membership::watch() {
     watching_ = true;
+    ++watch_;
     StateCall call;
     call.kind = StateCall::Kind::watch;
     call.key = keys::live;
     call.since = ctx_.jobs.revision();
-    ctx_.state(call, [this](const StateReply& r) {
+    ctx_.state(call, [this, number = watch_](const StateReply& r) {
+        if (number != watch_) {
+            return;  // another one was opened instead
+        }
         watching_ = false;
         if (r.status == StateReply::Status::compacted) {
             ctx_.info("watch: fell behind, reading everything again");
@@ -137,6 +141,11 @@
             ctx_.info("lease {} ended", lease);
             lease_ = 0;
             grant();
+            if (watching_) {
+                // Guards against seconds outside the epoch: the open watch may be one that the
+                // state service stopped serving when it refused this process.
+                watch();
+            }
         }
     });
 }
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -57,6 +57,7 @@
     double last_contact_ = 0;
     bool loading_ = false;
     bool watching_ = false;
+    std::uint64_t watch_ = 0;  // number of the one that counts
     std::uint64_t lease_ = 0;
     bool granting_ = false;
     bool joining_ = false;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -227,11 +227,8 @@
     }
     const MachineType* t = fleet_.type(m.type);
     double free = t != nullptr && t->size.cpus > 0 ? offer.room.cpus / t->size.cpus : 0;
-    // A start on a machine whose report was answered waits for its next one: the longer beside the
-    // task's own time, the better the machine that it would wait for must be.
-    double late = ctx_.settings.report_s / 2 / std::max(1.0, job.spec.estimate_s);
-    bool service = job.spec.kind == JobKind::service;
-    double wait = m.request ? 0 : std::max(constants::rank_step, service ? 0 : std::min(1.0, late));
+    // A start on a machine whose report was answered waits for its next one.
+    double wait = m.request ? 0 : constants::rank_step;
     return (m.spot ? 0 : 1.5) + free + wait;
 }
 
--- a/src/io/state_client.cpp
+++ b/src/io/state_client.cpp
@@ -12,6 +12,8 @@
 namespace {
 // connections for calls: as many transactions may be under way at once
 constexpr std::size_t connections = 8;
+// one for the watch, one for the watch that takes the place of one that is not served any more
+constexpr std::size_t watch_connections = 2;
 // bytes of an answer at the most; a watch's answer has no limit of its own
 constexpr std::size_t answer_max = 64UL << 20;
 // s after which a call answered with 429 is sent again, and how often
@@ -25,7 +27,7 @@
     : loop_(loop),
       done_(std::move(done)),
       calls_(loop, s.state_address, connections, answer_max),
-      watches_(loop, s.state_address, 1, answer_max),
+      watches_(loop, s.state_address, watch_connections, answer_max),
       requests_(s.state_rps * c::state_rate_share, s.state_rps * c::state_rate_share),
       writes_(s.state_write_rps * c::state_write_share, s.state_write_rps * c::state_write_share),
       reopened_(s.state_rps * c::watch_share, watch_burst),
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -647,6 +647,19 @@
     EXPECT_TRUE(w.until([&] { return w.running("req-000001") == 0; }, 30));
 }
 
+TEST_F(Three, ANodeThatWasRefusedIsBackAtOnceWhenItIsServedAgain) {
+    // Incident inc-6e4f: its open watch was not served any more, and it joined only when the time
+    // of that watch was over.
+    begin(3);
+    ASSERT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);  // its watch is a fresh one
+    w.run(0.1);
+    w.state_refused = {1};
+    ASSERT_TRUE(w.until([&] { return w.node(0).context().jobs.epoch()->members.size() == 2; }, 5));
+    w.run(1);
+    w.state_refused.clear();
+    EXPECT_TRUE(w.until([&] { return w.all_members(3); }, 2));
+}
+
 TEST_F(Three, DuringACommonOutageWorkersAreStillAnswered) {
     begin(3);
     w.submit_and_wait(0, w.job(1, JobKind::service, 3));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -325,14 +325,15 @@
         return;
     }
     auto open = std::exchange(watches_, {});
-    for (const auto& w : open) {
+    for (auto& w : open) {
         std::vector<Event> news;
         for (const auto& e : events_) {
             if (e.revision > w.since && e.key.compare(0, 2, "c/") == 0) {
                 news.push_back(e);
             }
         }
-        if (state_refused.count(w.node) != 0 || (news.empty() && now < w.until)) {
+        w.dead = w.dead || state_refused.count(w.node) != 0;
+        if (state_refused.count(w.node) != 0 || (now < w.until && (news.empty() || w.dead))) {
             watches_.push_back(w);
             continue;
         }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -143,6 +143,7 @@
         std::uint64_t id;
         Revision since;
         double until;
+        bool dead = false;  // refused meanwhile: waits for its time to run out
     };
 
     void after(double s, std::function<void()> what);
