--- a/tests/change_test.cpp
+++ b/tests/change_test.cpp
@@ -355,6 +355,46 @@
     EXPECT_EQ(w.submit_and_wait(0, after(3, {1})).status, 201);
 }
 
+TEST_F(Chain, AMemberOfTheVersionBeforeMayLeadWhileOthersRelease) {
+    // One of three is back with the old program, and is the oldest member: it knows nothing of
+    // jobs that wait, and the oldest that does looks after them.
+    w.store("c/epoch",
+            {{"number", 1},
+             {"members", {{{"name", "n2"}, {"zone", "c"}, {"boot", "old"}, {"id", 1}}}}});
+    w.store("c/m/n2", {{"name", "n2"}, {"zone", "c"}, {"boot", "old"}, {"id", 1}});
+    JobRecord waits;
+    waits.spec = after(2, {1});
+    waits.submitted_wall = 1.7e9;
+    waits.block_size = 34;
+    waits.waiting = true;
+    w.know(waits.spec);
+    w.store("c/j/" + uid(2), encode(waits));
+    auto unlucky = waits;
+    unlucky.spec = after(3, {2, 4});
+    w.know(unlucky.spec);
+    w.store("c/j/" + uid(3), encode(unlucky));
+    w.run_s = 2;
+    w.add_machine("vm-500000", "a");
+    w.add_machine("vm-500001", "b");
+    w.start(0);
+    w.start(1);
+    ASSERT_TRUE(w.until([&] { return w.all_members(3); }, 10));
+    w.run(8);  // the list of machines is read now and then
+    ASSERT_EQ(w.submit_and_wait(0, w.job(4, JobKind::service)).status, 201);
+    ASSERT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);
+    EXPECT_EQ(w.submit_and_wait(0, after(5, {1})).status, 503);
+    ASSERT_TRUE(w.until([&] { return over(2); }, 60));
+    EXPECT_EQ(w.answer(w.cancel(1, uid(4))).state, "cancelled");
+    EXPECT_TRUE(w.until([&] { return over(3); }, 10));
+    // The new program is there: what was held up goes on.
+    w.drop("c/m/n2");
+    w.start(2);
+    ASSERT_TRUE(w.until([&] { return w.all_members(3); }, 10));
+    w.run(1);
+    EXPECT_EQ(w.submit_and_wait(0, after(5, {1})).status, 201);
+    EXPECT_TRUE(w.until([&] { return over(5); }, 60));
+}
+
 // --- records of the version before --------------------------------------------------------
 
 // A cluster whose records were written by production, under larger limits: an array of 128 tasks
