--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -8,6 +8,7 @@
       quota_(ctx_),
       fleet_(ctx_, members_, quota_),
       scheduler_(ctx_, members_, fleet_, quota_),
+      preemption_(ctx_, members_, fleet_, scheduler_, quota_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
       finals_(ctx_, members_),
       dependencies_(ctx_, members_),
@@ -22,6 +23,7 @@
         auto touched = ctx_.jobs.take_touched_jobs();
         dependencies_.records_changed(touched);
         scheduler_.records_changed();
+        preemption_.records_changed();
         fleet_.records_changed(touched);
     };
 }
@@ -40,6 +42,7 @@
     fleet_.tick();
     finals_.tick();
     scheduler_.tick();
+    preemption_.tick();
     quota_.tick();
     provisioner_.tick();
     requests_.tick();
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -11,6 +11,7 @@
 #include "core/finals.hpp"
 #include "core/fleet.hpp"
 #include "core/membership.hpp"
+#include "core/preemption.hpp"
 #include "core/provisioner.hpp"
 #include "core/quota.hpp"
 #include "core/requests.hpp"
@@ -57,6 +58,7 @@
     Quota quota_;
     Fleet fleet_;
     Scheduler scheduler_;
+    Preemption preemption_;
     Provisioner provisioner_;
     Finals finals_;
     Dependencies dependencies_;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -19,6 +19,19 @@
     return it == open_since_.end() ? 0 : ctx_.now.steady - it->second;
 }
 
+double Scheduler::open_for_s(const std::string& uid) {
+    return ctx_.now.steady - open_since_.try_emplace(uid, ctx_.now.steady).first->second;
+}
+
+bool Scheduler::held_for_other(const std::string& machine, const std::string& uid) const {
+    auto held = holds_.find(machine);
+    return held != holds_.end() && held->second.uid != uid && held->second.until >= ctx_.now.steady;
+}
+
+void Scheduler::hold(const std::string& machine, const JobSpec& spec, double seconds) {
+    holds_[machine] = {spec.uid, ctx_.now.steady + seconds, spec.priority};
+}
+
 std::vector<const Job*> Scheduler::order() const {
     struct Rank {
         bool below = false;
@@ -833,7 +846,7 @@
         const Job* job = ctx_.jobs.find(it->first);
         it = job == nullptr || job->open() == 0 ? waits_.erase(it) : std::next(it);
     }
-    for (auto* times : {&open_since_, &preempted_at_, &held_since_}) {
+    for (auto* times : {&open_since_, &held_since_}) {
         for (auto it = times->begin(); it != times->end();) {
             const Job* job = ctx_.jobs.find(it->first);
             it = job == nullptr || job->open() == 0 ? times->erase(it) : std::next(it);
@@ -846,147 +859,6 @@
     }
 }
 
-// --- preemption ---------------------------------------------------------------------------
-
-bool Scheduler::below_guarantee(const std::string& name, const Resources& more) const {
-    const Team* t = quota_.team(name);
-    if (t == nullptr) {
-        return false;
-    }
-    Resources sum = ctx_.jobs.used(name) + more;
-    bool cpus = t->guarantee.cpus <= 0 || sum.cpus <= t->guarantee.cpus + Resources::slack;
-    bool gpus = t->guarantee.gpus <= 0 || sum.gpus <= t->guarantee.gpus + Resources::slack;
-    return (t->guarantee.cpus > 0 || t->guarantee.gpus > 0) && cpus && gpus;
-}
-
-bool Scheduler::may_preempt(const Job& job, const Job& victim, double waited) const {
-    if (victim.spec.kind == JobKind::gang && victim.spec.tasks > 1) {
-        return false;  // its tasks on other machines would have to be stopped with it
-    }
-    if (victim.spec.priority < job.spec.priority) {
-        // Whole machines are costly to clear: a gang first waits for one to be free or rented.
-        return job.spec.kind != JobKind::gang || waited > constants::gang_preempt_s;
-    }
-    // The paper's minimum share timeout: work that another team runs beyond its own guarantee.
-    return victim.spec.team != job.spec.team && waited > ctx_.tunables.share_timeout_s &&
-           victim.spec.priority != Priority::production &&
-           below_guarantee(job.spec.team, job.spec.each) && !below_guarantee(victim.spec.team, {});
-}
-
-std::optional<Scheduler::Victims> Scheduler::victims_on(Machine& m, const Job& job,
-                                                        double waited) const {
-    Victims v;
-    v.machine = &m;
-    v.local = Fleet::has_image(m, fleet_.image_number(job.spec.image));
-    std::vector<std::tuple<double, TaskId, const Job*>> candidates;
-    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
-        const Job* other = on.job;
-        if (!other->cancelled && may_preempt(job, *other, waited)) {
-            double ran = ctx_.now.steady - fleet_.placed_at(id);
-            // What has a checkpoint loses little, however long it ran.
-            double lost =
-                other->spec.checkpoint_s > 0 ? std::min(ran, other->spec.checkpoint_s) : ran;
-            candidates.emplace_back(lost, id, other);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
-    Resources room = fleet_.room(m);
-    for (const auto& [lost, id, other] : candidates) {
-        if (job.spec.each.fits_in(room)) {
-            break;
-        }
-        room += other->spec.each;
-        v.tasks.push_back(id);
-        v.lost_s += lost;
-    }
-    if (v.tasks.empty() || !job.spec.each.fits_in(room)) {
-        return std::nullopt;
-    }
-    return v;
-}
-
-void Scheduler::preempt() {
-    int looked = 0;
-    for (const Job* job : order()) {
-        const JobSpec& s = job->spec;
-        double since = open_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
-        double stagger = constants::preempt_pause_s * static_cast<double>(turn(*job));
-        double waited = ctx_.now.steady - since;
-        if (waited < stagger) {
-            continue;  // its first member makes room, the others only if it has none to make
-        }
-        if (s.priority <= Priority::normal && !below_guarantee(s.team, s.each)) {
-            continue;
-        }
-        if ((s.tasks > 1 && s.kind == JobKind::gang) || job->doubtful()) {
-            continue;
-        }
-        auto recent = preempted_at_.find(s.uid);
-        if ((recent != preempted_at_.end() &&
-             ctx_.now.steady - recent->second < constants::preempt_pause_s) ||
-            waited < constants::preempt_after_s || !quota_.within_limit(s.team, s.each)) {
-            continue;
-        }
-        if (++looked > constants::preempt_looks) {
-            break;
-        }
-        preempted_at_[s.uid] = ctx_.now.steady;
-        int image = fleet_.image_number(s.image);
-        int block = 0;
-        while (block + 1 < job->block_count() && !job->first_open(block)) {
-            ++block;
-        }
-        // Room that is there already, or a machine that has it without the image.
-        bool room = false;
-        bool local_room = false;
-        std::optional<Victims> best;
-        for (auto& [name, m] : fleet_.machines()) {
-            bool ok = m.up() && !m.notice_until && !m.marking && !m.gone &&
-                      ctx_.jobs.mark(name) == nullptr && allowed(*job, m);
-            // Room made for one job serves no second one.
-            auto held = holds_.find(name);
-            ok = ok && (held == holds_.end() || held->second.uid == s.uid ||
-                        held->second.until < ctx_.now.steady);
-            if (!ok) {
-                continue;
-            }
-            bool local = Fleet::has_image(m, image);
-            if (spread_room(*job, block, m.zone) == 0) {
-                continue;
-            }
-            if (s.each.fits_in(fleet_.room(m))) {
-                room = true;
-                local_room = local_room || local;
-                continue;
-            }
-            if (!m.mine || !fleet_.usable(m)) {
-                continue;
-            }
-            auto v = victims_on(m, *job, waited);
-            if (v && (!best || std::make_tuple(!v->local, v->lost_s) <
-                                   std::make_tuple(!best->local, best->lost_s))) {
-                best = v;
-            }
-        }
-        // Room without the image costs a production job its fetch time: less than that is lost
-        // by stopping a newer, lower task where the image is.
-        bool fetch_hurts =
-            s.priority == Priority::production && best && best->local && s.image_gb > 0;
-        if (!best || local_room || (room && !fetch_hurts)) {
-            continue;
-        }
-        Machine& m = *best->machine;
-        holds_[m.name] = {s.uid, ctx_.now.steady + constants::preempt_pause_s, s.priority};
-        ctx_.info("preempt {} tasks on {} for {}", best->tasks.size(), m.name, s.uid);
-        for (const auto& id : best->tasks) {
-            if (const Placement* p = ctx_.jobs.placement(id)) {
-                fleet_.stop(m, {id, p->attempt}, 0);
-            }
-        }
-    }
-}
-
 void Scheduler::tick() {
     if (!ctx_.member || !members_.in_contact()) {
         return;
@@ -994,10 +866,6 @@
     if (ctx_.now.steady - last_round_ >= constants::round_every_s) {
         round();
     }
-    if (ctx_.now.steady >= next_preempt_) {
-        next_preempt_ = ctx_.now.steady + constants::preempt_every_s;
-        preempt();
-    }
 }
 
 }  // namespace cranemoor::core
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -28,6 +28,13 @@
     // Jobs with tasks to place, in the order in which they are walked.
     std::vector<const Job*> order() const;
     double waited_s(const std::string& uid) const;
+    // The same, counted from now on if it was not yet.
+    double open_for_s(const std::string& uid);
+    // This member's place in the order in which members look at a job.
+    std::size_t turn(const Job& job) const;
+    // Keeps a machine's room for one job for a while, unless a more urgent one comes.
+    void hold(const std::string& machine, const JobSpec& spec, double seconds);
+    bool held_for_other(const std::string& machine, const std::string& uid) const;
     // Whether a task of the job may ever be on that machine, and in that zone just now.
     bool allowed(const Job& job, const Machine& m) const;
     // What a task needs of its machine, as one word: equal for jobs that fit the same machines.
@@ -49,12 +56,6 @@
         double until = 0;
         Priority priority = Priority::normal;
     };
-    struct Victims {
-        Machine* machine = nullptr;
-        std::vector<TaskId> tasks;
-        double lost_s = 0;
-        bool local = false;
-    };
     // A claim whose outcome is open: counted until the records tell.
     struct Claim {
         std::string key;
@@ -102,7 +103,6 @@
     void walk(Round& round, const Job& job);
     int claim_tasks(const Job& job, const std::vector<Choice>& choices);
     bool claim_gang(Round& round, const Job& job, Wait& w);
-    std::size_t turn(const Job& job) const;
     double dominant(const Resources& amount) const;
     Resources room_for(const Offer& offer, const JobSpec& spec) const;
     bool local_chance(Round& round, const Job& job) const;
@@ -114,11 +114,6 @@
     bool better_elsewhere(Round& round, const Offer& offer, const Job& job) const;
     void add_claim(const Job& job, const std::map<int, Block>& blocks,
                    const std::vector<std::string>& machines, int tasks);
-    // Stops lower or borrowed work where a job may demand that and nothing else helps it.
-    void preempt();
-    bool may_preempt(const Job& job, const Job& victim, double waited) const;
-    std::optional<Victims> victims_on(Machine& m, const Job& job, double waited) const;
-    bool below_guarantee(const std::string& team, const Resources& more) const;
     void hold_for(Round& round, const Job& job);
 
     Context& ctx_;
@@ -130,12 +125,10 @@
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
     Batch batch_;
-    std::size_t blocks_open_ = 0;                 // claims on their way to the records
-    std::map<std::string, double> open_since_;    // jobs with tasks to place
-    std::map<std::string, double> preempted_at_;  // by job that room was made for
-    std::map<std::string, double> held_since_;    // gangs that machines are held for
+    std::size_t blocks_open_ = 0;               // claims on their way to the records
+    std::map<std::string, double> open_since_;  // jobs with tasks to place
+    std::map<std::string, double> held_since_;  // gangs that machines are held for
     double last_round_ = 0;
-    double next_preempt_ = 0;
 };
 
 }  // namespace cranemoor::core
