--- /dev/null
+++ b/src/ctl/errand.cpp
@@ -0,0 +1,137 @@
+#include "ctl/errand.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "wire/messages.hpp"
+
+namespace cranemoor::ctl {
+
+namespace {
+// s to wait for the answer to a submission or cancellation, and to a poll: as users do
+constexpr double submit_answer_s = 5;
+constexpr double poll_answer_s = 2;
+// bytes of an answer at the most
+constexpr std::size_t answer_max = 1UL << 20;
+
+bool final(const Json& body, const char* state) {
+    return body.value("stance", "") == state;
+}
+}  // namespace
+
+Errand::Errand(io::Loop& loop, const std::string& server, Patience patience)
+    : loop_(loop),
+      client_(loop, server, 1, answer_max),
+      patience_(patience),
+      again_(loop, [this] { send(); }) {}
+
+Outcome Errand::run(const std::string& method, const std::string& target, const std::string& body,
+                    double answer_s, double pause_s, double patience_s, Judge judge) {
+    method_ = method;
+    target_ = target;
+    body_ = body;
+    answer_s_ = answer_s;
+    pause_s_ = pause_s;
+    until_ = patience_s > 0 ? loop_.now().steady + patience_s : 1e18;
+    judge_ = std::move(judge);
+    outcome_ = {};
+    again_.start(0);
+    loop_.run();
+    return outcome_;
+}
+
+void Errand::send() {
+    client_.request(method_, target_, body_, answer_s_, [this](const io::HttpMessage* m) {
+        double pause = pause_s_;
+        if (m != nullptr) {
+            outcome_.status = m->status;
+            auto value = wire::decode(m->body);
+            outcome_.body = value && value->is_object() ? *value : Json::object();
+            if (auto exit = judge_(m->status, outcome_.body)) {
+                outcome_.exit = *exit;
+                loop_.stop();
+                return;
+            }
+            if (const std::string* after = m->header("retry-after")) {
+                double asked = std::strtod(after->c_str(), nullptr);
+                pause = std::max(pause, std::min(asked, patience_.retry_max_s));
+            }
+        }
+        if (loop_.now().steady + pause > until_) {
+            outcome_.exit = Exit::no_answer;
+            loop_.stop();
+            return;
+        }
+        again_.start(pause);
+    });
+}
+
+Outcome Errand::submit(const Json& job) {
+    return run("POST", "/work", wire::encode(job), submit_answer_s, patience_.again_s,
+               patience_.request_s, [](int status, const Json&) -> std::optional<Exit> {
+                   if (status == 200 || status == 201) {
+                       return Exit::done;
+                   }
+                   bool refused = status == 400 || status == 413 || status == 422;
+                   return refused ? std::optional(Exit::refused) : std::nullopt;
+               });
+}
+
+Outcome Errand::cancel(const std::string& uid) {
+    return run("POST", fmt::format("/work/{}/cancel", uid), "", submit_answer_s, patience_.again_s,
+               patience_.request_s, [](int status, const Json&) -> std::optional<Exit> {
+                   if (status == 200) {
+                       return Exit::done;
+                   }
+                   return status == 404 ? std::optional(Exit::refused) : std::nullopt;
+               });
+}
+
+Outcome Errand::status(const std::string& uid) {
+    return run("GET", fmt::format("/work/{}", uid), "", poll_answer_s, patience_.again_s,
+               patience_.request_s, [](int status, const Json&) -> std::optional<Exit> {
+                   if (status == 200) {
+                       return Exit::done;
+                   }
+                   return status == 404 ? std::optional(Exit::refused) : std::nullopt;
+               });
+}
+
+Outcome Errand::wait(const std::string& uid) {
+    return run("GET", fmt::format("/work/{}", uid), "", poll_answer_s, patience_.poll_s,
+               patience_.wait_s, [](int status, const Json& body) -> std::optional<Exit> {
+                   if (status == 200 && final(body, "done")) {
+                       return Exit::done;
+                   }
+                   if (status == 200 && final(body, "withdrawn")) {
+                       return Exit::cancelled;
+                   }
+                   return status == 404 ? std::optional(Exit::refused) : std::nullopt;
+               });
+}
+
+std::string describe(const Outcome& o, bool json) {
+    if (json) {
+        Json v = o.body;
+        v["status"] = o.status;
+        return v.dump();
+    }
+    if (o.status == 0) {
+        return "no answer";
+    }
+    std::string text = o.body.value("uid", "");
+    if (o.body.contains("stance")) {
+        text += fmt::format(" {}", o.body.value("stance", ""));
+        if (o.body.contains("done")) {
+            text += fmt::format(", {} done, {} running", o.body.value("done", 0),
+                                o.body.value("running", 0));
+        }
+        return text;
+    }
+    return fmt::format("{}{}{} ({})", text, text.empty() ? "" : ": ",
+                       o.body.value("error", "not now"), o.status);
+}
+
+}  // namespace cranemoor::ctl
--- /dev/null
+++ b/src/ctl/errand.hpp
@@ -0,0 +1,69 @@
+// One errand of a user at the controllers: a request with the protocol's retries, or the polls of
+// a job until it is over.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/actions.hpp"
+#include "io/http_client.hpp"
+#include "io/loop.hpp"
+
+namespace cranemoor::ctl {
+
+using core::Json;
+
+// What the command ends with; docs/operations.md lists them.
+enum class Exit { done = 0, mistake = 2, refused = 3, no_answer = 4, cancelled = 5 };
+
+struct Outcome {
+    Exit exit = Exit::no_answer;
+    int status = 0;  // of the last answer, 0: none came
+    Json body = Json::object();
+};
+
+// Milliseconds and seconds of the protocol, and how long to wait for a job.
+struct Patience {
+    double request_s = 60;    // a submission or cancellation is repeated that long
+    double again_s = 1;       // at the least between two tries
+    double retry_max_s = 30;  // of what Retry-After asks for
+    double poll_s = 5;        // between two looks at a job
+    double wait_s = 0;        // for a job to be over; 0: as long as it takes
+};
+
+class Errand {
+  public:
+    Errand(io::Loop& loop, const std::string& server, Patience patience);
+
+    // Each returns when it is over.
+    Outcome submit(const Json& job);
+    Outcome status(const std::string& uid);
+    Outcome cancel(const std::string& uid);
+    Outcome wait(const std::string& uid);
+
+  private:
+    // What an answer means: nothing while the request should be sent again.
+    using Judge = std::function<std::optional<Exit>(int status, const Json& body)>;
+    Outcome run(const std::string& method, const std::string& target, const std::string& body,
+                double answer_s, double pause_s, double patience_s, Judge judge);
+    void send();
+
+    io::Loop& loop_;
+    io::HttpClient client_;
+    Patience patience_;
+    io::Timer again_;
+    std::string method_;
+    std::string target_;
+    std::string body_;
+    double answer_s_ = 0;
+    double pause_s_ = 0;
+    double until_ = 0;
+    Judge judge_;
+    Outcome outcome_;
+};
+
+// "req-000412 running, 3 done, 13 running" or the body as JSON.
+std::string describe(const Outcome& outcome, bool json);
+
+}  // namespace cranemoor::ctl
--- /dev/null
+++ b/tests/ctl_test.cpp
@@ -0,0 +1,145 @@
+// The users' command line against a stand-in for the controllers on an ephemeral loopback port.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+
+#include "ctl/errand.hpp"
+#include "io/http_server.hpp"
+#include "ports.hpp"
+#include "wire/messages.hpp"
+
+namespace cranemoor {
+namespace {
+
+using core::Json;
+using io::HttpMessage;
+
+struct Ctl : ::testing::Test {
+    // Answers with the next of the prepared ones, the last of them for ever.
+    struct Answer {
+        int status;
+        Json body;
+        int retry_after_s = 0;
+    };
+    std::vector<Answer> answers;
+    std::vector<std::string> asked;
+    std::vector<std::string> bodies;
+    std::string address = local(free_port());
+    io::Loop loop;
+    io::HttpServer server{loop, address, 8, [this](std::uint64_t r, HttpMessage&& m) {
+                              asked.push_back(m.method + " " + m.target);
+                              bodies.push_back(m.body);
+                              Answer a = answers.front();
+                              if (answers.size() > 1) {
+                                  answers.erase(answers.begin());
+                              }
+                              server.reply(r, a.status, wire::encode(a.body), a.retry_after_s);
+                          }};
+    ctl::Patience quick() {
+        ctl::Patience p;
+        p.request_s = 2;
+        p.again_s = p.poll_s = 0.01;
+        p.retry_max_s = 0.02;
+        return p;
+    }
+    ctl::Errand errand{loop, address, quick()};
+    Json job = {{"uid", "req-000001"}, {"flock", "c"},      {"crew", "t"},
+                {"gait", "array"},     {"rank", "normal"},  {"hatchlings", 1},
+                {"cpus", 1},           {"gpus", 0},         {"mem_gb", 1},
+                {"plumage", "i"},      {"size_gb", 1},      {"together", false},
+                {"spread", false},     {"driftwood", true}, {"flight_s", 1},
+                {"nestmark_s", 0},     {"preen_s", 0},      {"follows", {"req-000007"}}};
+
+    // The program itself; what it says goes to a file.
+    int run(std::vector<std::string> arguments, std::string& said) {
+        std::string out = ::testing::TempDir() + "ctl-" + std::to_string(::getpid());
+        posix_spawn_file_actions_t files;
+        ::posix_spawn_file_actions_init(&files);
+        ::posix_spawn_file_actions_addopen(&files, 1, out.c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+                                           0600);
+        ::posix_spawn_file_actions_adddup2(&files, 1, 2);
+        std::string program = CRANEMOORCTL_PROGRAM;
+        std::vector<char*> argv = {program.data()};
+        for (auto& a : arguments) {
+            argv.push_back(a.data());
+        }
+        argv.push_back(nullptr);
+        pid_t pid = -1;
+        ::posix_spawn(&pid, program.c_str(), &files, nullptr, argv.data(), environ);
+        ::posix_spawn_file_actions_destroy(&files);
+        int status = -1;
+        ::waitpid(pid, &status, 0);
+        std::ifstream in(out);
+        said.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+        std::remove(out.c_str());
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+};
+
+TEST_F(Ctl, ASubmissionIsRepeatedUntilItIsAcceptedOrRefused) {
+    Json pending = {{"uid", "req-000001"}, {"stance", "pending"}};
+    answers = {{503, {{"error", "not now"}}, 1}, {201, pending}};
+    auto outcome = errand.submit(job);
+    EXPECT_EQ(outcome.exit, ctl::Exit::done);
+    EXPECT_EQ(asked, std::vector<std::string>(2, "POST /work"));
+    EXPECT_EQ(wire::decode(bodies[1])->at("follows"), Json({"req-000007"}));
+    EXPECT_EQ(ctl::describe(outcome, false), "req-000001 pending");
+    answers = {{422, {{"uid", "req-000001"}, {"error", "unknown team"}}}};
+    outcome = errand.submit(job);
+    EXPECT_EQ(outcome.exit, ctl::Exit::refused);
+    EXPECT_EQ(asked.size(), 3U);
+    EXPECT_EQ(ctl::describe(outcome, false), "req-000001: unknown team (422)");
+}
+
+TEST_F(Ctl, WaitGoesOnUntilTheJobIsOver) {
+    Json running = {{"uid", "req-000001"}, {"stance", "running"}, {"done", 1}, {"running", 2}};
+    Json done = {{"uid", "req-000001"}, {"stance", "done"}, {"done", 3}, {"running", 0}};
+    Json withdrawn = {{"uid", "req-000001"}, {"stance", "withdrawn"}};
+    answers = {{200, running}, {503, Json::object()}, {200, done}};
+    auto outcome = errand.wait("req-000001");
+    EXPECT_EQ(outcome.exit, ctl::Exit::done);
+    EXPECT_EQ(asked.size(), 3U);
+    EXPECT_EQ(ctl::describe(outcome, false), "req-000001 done, 3 done, 0 running");
+    answers = {{200, running}, {200, withdrawn}};
+    EXPECT_EQ(errand.wait("req-000001").exit, ctl::Exit::cancelled);
+    answers = {{404, {{"uid", "req-000001"}, {"error", "no such job"}}}};
+    EXPECT_EQ(errand.wait("req-000001").exit, ctl::Exit::refused);
+    answers = {{200, withdrawn}};
+    EXPECT_EQ(errand.cancel("req-000001").exit, ctl::Exit::done);
+    EXPECT_EQ(asked.back(), "POST /work/req-000001/cancel");
+    answers = {{200, running}};
+    EXPECT_EQ(Json::parse(ctl::describe(errand.status("req-000001"), true)).at("running"), 2);
+}
+
+TEST_F(Ctl, BadInputGetsOneLineThatNamesTheField) {
+    std::string said;
+    std::string file = ::testing::TempDir() + "job-" + std::to_string(::getpid()) + ".json";
+    job["follows"] = {"req-000007", 8};
+    std::ofstream(file) << job.dump();
+    EXPECT_EQ(run({"submit", file}, said), 2);
+    EXPECT_EQ(said, "cranemoorctl: " + file + ": field missing or invalid: follows\n");
+    job.erase("follows");
+    job.erase("crew");
+    std::ofstream(file) << job.dump();
+    EXPECT_EQ(run({"submit", file}, said), 2);
+    EXPECT_EQ(said, "cranemoorctl: " + file + ": field missing or invalid: crew\n");
+    std::ofstream(file) << "{";
+    EXPECT_EQ(run({"submit", file}, said), 2);
+    EXPECT_EQ(said, "cranemoorctl: " + file + ": not JSON\n");
+    EXPECT_EQ(run({"status", "412"}, said), 2);
+    EXPECT_EQ(run({"--version"}, said), 0);
+    EXPECT_EQ(run({}, said), 2);
+    // Nobody answers there.
+    EXPECT_EQ(run({"--server", "127.0.0.1:1", "--timeout", "0.1", "status", "req-000001"}, said),
+              4);
+    std::remove(file.c_str());
+}
+
+}  // namespace
+}  // namespace cranemoor
