--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -460,7 +460,7 @@
     write_part(std::make_shared<Acceptance>(a), std::move(parts));
 }
 
-void Requests::write_part(std::shared_ptr<Acceptance> a,
+void Requests::write_part(const std::shared_ptr<Acceptance>& a,
                           std::vector<std::vector<std::string>> parts) {
     auto n = static_cast<std::size_t>(a->parts);
     if (n == parts.size()) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -83,7 +83,8 @@
     JobRecord new_record(const Acceptance& a) const;
     void accept_dependent(std::uint64_t request, const JobSpec& spec);
     void write_parts(const Acceptance& a);
-    void write_part(std::shared_ptr<Acceptance> a, std::vector<std::vector<std::string>> parts);
+    void write_part(const std::shared_ptr<Acceptance>& a,
+                    std::vector<std::vector<std::string>> parts);
     void accept(std::uint64_t request, const JobSpec& spec, int tries, bool cancelled = false);
     void write_accepted();
     void accepted(const std::vector<Acceptance>& batch, const StateReply& reply);
--- a/src/ctl/errand.cpp
+++ b/src/ctl/errand.cpp
@@ -19,6 +19,13 @@
 bool final(const Json& body, const char* state) {
     return body.value("stance", "") == state;
 }
+
+std::optional<Exit> known_or_not(int status, const Json& /*body*/) {
+    if (status == 200) {
+        return Exit::done;
+    }
+    return status == 404 ? std::optional(Exit::refused) : std::nullopt;
+}
 }  // namespace
 
 Errand::Errand(io::Loop& loop, const std::string& server, Patience patience)
@@ -81,22 +88,12 @@
 
 Outcome Errand::cancel(const std::string& uid) {
     return run("POST", fmt::format("/work/{}/cancel", uid), "", submit_answer_s, patience_.again_s,
-               patience_.request_s, [](int status, const Json&) -> std::optional<Exit> {
-                   if (status == 200) {
-                       return Exit::done;
-                   }
-                   return status == 404 ? std::optional(Exit::refused) : std::nullopt;
-               });
+               patience_.request_s, known_or_not);
 }
 
 Outcome Errand::status(const std::string& uid) {
     return run("GET", fmt::format("/work/{}", uid), "", poll_answer_s, patience_.again_s,
-               patience_.request_s, [](int status, const Json&) -> std::optional<Exit> {
-                   if (status == 200) {
-                       return Exit::done;
-                   }
-                   return status == 404 ? std::optional(Exit::refused) : std::nullopt;
-               });
+               patience_.request_s, known_or_not);
 }
 
 Outcome Errand::wait(const std::string& uid) {
