Renting, sweeping and claiming a gang parted into steps with names

Change: each is a few named steps over a small struct of what they share; Fleet::stop_anywhere, which had no caller, is gone. Behaviour as it was.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -554,23 +554,6 @@
     }
 }
 
-void Fleet::stop_anywhere(const std::string& machine, const Attempt& task, double grace_s) {
-    Machine* m = find(machine);
-    if (m == nullptr) {
-        return;
-    }
-    if (m->mine) {
-        stop(*m, task, grace_s);
-        return;
-    }
-    if (!m->address.empty()) {
-        Machine::Stop once;
-        once.grace_s = grace_s;
-        m->session = std::max<std::uint64_t>(m->session, 1);
-        send_stop(*m, task, once);
-    }
-}
-
 // --- ownership ----------------------------------------------------------------------------
 
 void Fleet::epoch_changed(const std::optional<Epoch>& before) {
@@ -922,120 +905,144 @@
 
 // Looks at every machine: the silent, the faulty, the failed, and those that are no more.
 void Fleet::sweep() {
-    double t = ctx_.now.steady;
+    forget_old();
+    if (members_.leading()) {
+        conclude_gone();  // also of claims that came after the machine's end
+    }
+    Silence silence = count_silent();
+    for (auto it = machines_.begin(); it != machines_.end();) {
+        Machine& m = it->second;
+        if (over(m)) {
+            it = machines_.erase(it);
+            continue;
+        }
+        ++it;
+        note_empty(m);
+        if (ctx_.member && m.mine && ctx_.jobs.mark(m.name) == nullptr) {
+            repeat_stops(m);
+            look_after(m, silence);
+        }
+    }
+}
+
+void Fleet::forget_old() {
     std::erase_if(placed_at_,
                   [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
     for (auto* times : {&whole_, &cheap_}) {
         double old = ctx_.now.wall - constants::arrivals_s;
         std::erase_if(*times, [&](const auto& e) { return e.second.first < old; });
     }
-    double silence = silence_s();
-    if (members_.leading()) {
-        conclude_gone();  // also of claims that came after the machine's end
-    }
-    struct Count {
-        int mine = 0;
-        int silent = 0;
-        bool suspect() const {
-            return silent > constants::silent_few && silent > mine * constants::silent_share;
-        }
-    };
-    Count all;
-    std::map<std::string, Count> zones;
-    for (auto& [name, m] : machines_) {
+}
+
+bool Fleet::Silence::Count::suspect() const {
+    return silent > constants::silent_few && silent > mine * constants::silent_share;
+}
+
+// When most machines fall silent at once, this process's own network is the likelier cause; when
+// most of another zone do, that zone is cut off. Inside it work goes on and its images stay:
+// releasing hundreds of healthy machines would cost more than waiting for them.
+Fleet::Silence Fleet::count_silent() {
+    Silence silence;
+    std::map<std::string, Silence::Count> zones;
+    for (const auto& [name, m] : machines_) {
         bool known = m.reported || m.running_since >= 0;
-        if (m.mine && known && ctx_.jobs.mark(name) == nullptr) {
-            bool quiet = t - std::max(m.last_report, m.owned_since) > silence;
-            Count& zone = zones[m.zone];
-            zone.mine++;
-            zone.silent += quiet ? 1 : 0;
-            if (m.reported && m.adopted) {
-                all.mine++;
-                all.silent += quiet ? 1 : 0;
-            }
+        if (!m.mine || !known || ctx_.jobs.mark(name) != nullptr) {
+            continue;
+        }
+        bool quiet = ctx_.now.steady - std::max(m.last_report, m.owned_since) > silence_s();
+        Silence::Count& zone = zones[m.zone];
+        zone.mine++;
+        zone.silent += quiet ? 1 : 0;
+        if (m.reported && m.adopted) {
+            silence.all.mine++;
+            silence.all.silent += quiet ? 1 : 0;
         }
     }
-    bool path_cut = cut_from_workers(all.mine);
-    // When most machines fall silent at once, this process's own network is the likelier cause;
-    // when most of another zone do, that zone is cut off. Inside it work goes on and its images
-    // stay: releasing hundreds of healthy machines would cost more than waiting for them.
+    silence.path_cut = cut_from_workers(silence.all.mine);
     cut_zones_.clear();
     for (const auto& [zone, count] : zones) {
         if (zone != ctx_.settings.zone && count.suspect()) {
             cut_zones_.insert(zone);
         }
     }
-    for (auto it = machines_.begin(); it != machines_.end();) {
-        Machine& m = it->second;
-        const Mark* mk = ctx_.jobs.mark(m.name);
-        double heard = std::max(m.last_report, m.owned_since);
-        if (mk != nullptr && mk->gone) {
-            m.gone = true;
-        } else if (m.gone && mk == nullptr && !m.request) {
-            if (ctx_.jobs.on_machine(m.name).empty()) {
-                it = machines_.erase(it);  // its mark was retired: nothing is left of it
-                continue;
-            }
-            // A claim came as late as that: its end must be proved once more.
-            m.gone = false;
-            m.reported = m.adopted = false;
-            m.address.clear();
-        }
-        bool forgettable = ctx_.jobs.on_machine(m.name).empty() && mk == nullptr && !m.request &&
-                           t - heard > constants::gone_mark_s &&
-                           t - m.listed_at > constants::gone_mark_s;
-        if (forgettable) {
-            it = machines_.erase(it);
-            continue;
-        }
-        ++it;
-        bool placed = !ctx_.jobs.on_machine(m.name).empty();
-        note_empty(m);
-        if (!ctx_.member || !m.mine || mk != nullptr) {
-            continue;
-        }
-        for (auto& [task, s] : m.stops) {
-            if (m.adopted && t - s.last_sent >= constants::stop_repeat_s) {
-                if (s.grace_s > 0 && t - s.first > s.grace_s + ctx_.settings.gang_peer_s) {
-                    s.grace_s = 0;  // it should have saved by now
-                }
-                send_stop(m, task, s);
-            }
+    return silence;
+}
+
+// Whether nothing is left of a machine. Keeps what is known of it in step with its mark.
+bool Fleet::over(Machine& m) const {
+    const Mark* mark = ctx_.jobs.mark(m.name);
+    bool placed = !ctx_.jobs.on_machine(m.name).empty();
+    if (mark != nullptr && mark->gone) {
+        m.gone = true;
+    } else if (m.gone && mark == nullptr && !m.request) {
+        if (!placed) {
+            return true;  // its mark was retired
         }
-        if (m.listed_state == ListedState::failed) {
-            mark(m, "failed", true);
-        } else if (placed && m.address.empty() && t - heard > constants::unreported_s) {
-            // Placed by a claim on a machine that nobody lists any more: it can't be probed.
-            mark(m, "unknown", true);
-        } else if (m.reported || placed) {
-            double quiet = t - heard;
-            double limit = silence;
-            if (all.silent == all.mine || path_cut) {
-                // Perhaps only the way to it is cut: a worker needs this long to come back by
-                // way of another controller, which relays its reports. Guards against the release
-                // of hundreds of healthy machines by a controller that is cut off from them.
-                limit = std::max(limit, constants::relay_detour_s +
-                                            ctx_.settings.report_s * constants::report_spread);
-            }
-            if (all.suspect()) {
-                limit = ctx_.settings.lease_s + silence;
-            }
-            if (cut_zones_.count(m.zone) != 0) {
-                // By then every lease there has ended; starting anew costs about a boot.
-                limit = std::max(limit, ctx_.settings.cancel_s + longest_boot_s());
-            }
-            if (quiet > limit && m.probe_failures > 0) {
-                mark(m, "silent", true);
-            } else if (quiet > limit - constants::order_timeout_s) {
-                probe(m);
+        // A claim came as late as that: its end must be proved once more.
+        m.gone = false;
+        m.reported = m.adopted = false;
+        m.address.clear();
+    }
+    double heard = std::max(m.last_report, m.owned_since);
+    return !placed && mark == nullptr && !m.request &&
+           ctx_.now.steady - heard > constants::gone_mark_s &&
+           ctx_.now.steady - m.listed_at > constants::gone_mark_s;
+}
+
+void Fleet::repeat_stops(Machine& m) {
+    double t = ctx_.now.steady;
+    for (auto& [task, s] : m.stops) {
+        if (m.adopted && t - s.last_sent >= constants::stop_repeat_s) {
+            if (s.grace_s > 0 && t - s.first > s.grace_s + ctx_.settings.gang_peer_s) {
+                s.grace_s = 0;  // it should have saved by now
             }
-        } else if (m.running_since >= 0 && cut_zones_.count(m.zone) == 0 &&
-                   t - std::max(m.running_since, m.owned_since) > constants::unreported_s) {
-            mark(m, "never reported", true);
+            send_stop(m, task, s);
         }
-        if (m.notice_until && !placed && m.reported) {
-            mark(m, "taken away soon", false);
+    }
+}
+
+// s without a report after which a machine is fenced.
+double Fleet::patience_s(const Machine& m, const Silence& silence) const {
+    double limit = silence_s();
+    if (silence.all.silent == silence.all.mine || silence.path_cut) {
+        // Perhaps only the way to it is cut: a worker needs this long to come back by way of
+        // another controller, which relays its reports. Guards against the release of hundreds of
+        // healthy machines by a controller that is cut off from them.
+        limit = std::max(
+            limit, constants::relay_detour_s + ctx_.settings.report_s * constants::report_spread);
+    }
+    if (silence.all.suspect()) {
+        limit = ctx_.settings.lease_s + silence_s();
+    }
+    if (cut_off(m.zone)) {
+        // By then every lease there has ended; starting anew costs about a boot.
+        limit = std::max(limit, ctx_.settings.cancel_s + longest_boot_s());
+    }
+    return limit;
+}
+
+void Fleet::look_after(Machine& m, const Silence& silence) {
+    double t = ctx_.now.steady;
+    double quiet = t - std::max(m.last_report, m.owned_since);
+    bool placed = !ctx_.jobs.on_machine(m.name).empty();
+    if (m.listed_state == ListedState::failed) {
+        mark(m, "failed", true);
+    } else if (placed && m.address.empty() && quiet > constants::unreported_s) {
+        // Placed by a claim on a machine that nobody lists any more: it can't be probed.
+        mark(m, "unknown", true);
+    } else if (m.reported || placed) {
+        double limit = patience_s(m, silence);
+        if (quiet > limit && m.probe_failures > 0) {
+            mark(m, "silent", true);
+        } else if (quiet > limit - constants::order_timeout_s) {
+            probe(m);
         }
+    } else if (m.running_since >= 0 && !cut_off(m.zone) &&
+               t - std::max(m.running_since, m.owned_since) > constants::unreported_s) {
+        mark(m, "never reported", true);
+    }
+    if (m.notice_until && !placed && m.reported) {
+        mark(m, "taken away soon", false);
     }
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -120,7 +120,6 @@
     void settle_answers();
     // Asks a task to stop, directly and with every response until it is gone.
     void stop(Machine& m, const Attempt& task, double grace_s);
-    void stop_anywhere(const std::string& machine, const Attempt& task, double grace_s);
     // Marks it for return; the marks of one look are written together.
     void mark(Machine& m, const std::string& why, bool fence);
     // A job whose tasks fail is left alone until then.
@@ -148,6 +147,17 @@
         double not_before = -1e9;
     };
 
+    // How many of this process's machines are silent, as one look finds them.
+    struct Silence {
+        struct Count {
+            int mine = 0;
+            int silent = 0;
+            bool suspect() const;  // too many at once to be the machines' own doing
+        };
+        Count all;  // that it has adopted
+        bool path_cut = false;
+    };
+
     void take_in(Machine& m, const Report& r);
     void observe(Machine& m, bool from_report);
     void exited(Machine& m, const TaskStatus& s);
@@ -164,6 +174,12 @@
     void stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p);
     void note_empty(Machine& m) const;
     void sweep();
+    void forget_old();
+    Silence count_silent();
+    bool over(Machine& m) const;
+    void repeat_stops(Machine& m);
+    double patience_s(const Machine& m, const Silence& silence) const;
+    void look_after(Machine& m, const Silence& silence);
     bool cut_from_workers(int mine) const;
     void raise_tokens();
     void write_marks();
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -367,150 +367,204 @@
     if (rentals_.size() >= constants::rentals_open) {
         return;
     }
-    auto free = bins();
-    std::map<std::string, int> load;
-    for (const auto& b : free) {
-        load[b.zone]++;
-    }
-    std::map<Kind, int> wanted;
-    std::map<std::string, Resources> planned;  // by team
-    // Room only shrinks while jobs are gone through: for each demand and zone, where to go on.
-    std::map<std::string, std::size_t> cursors;
+    Plan plan;
+    plan.free = bins();
+    for (const auto& b : plan.free) {
+        plan.load[b.zone]++;
+    }
     auto jobs = scheduler_.order();
     std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
         return std::tie(a->spec.each.gpus, a->spec.each.cpus) >
                std::tie(b->spec.each.gpus, b->spec.each.cpus);
     });
     for (const Job* job : jobs) {
-        const JobSpec& s = job->spec;
-        const MachineType* type = cheapest(s);
-        // Nothing is rented for a job that is likely to fail again, unless it finds no room for
-        // long: it must have its tries.
-        bool in_doubt =
-            job->doubtful() && scheduler_.waited_s(s.uid) < constants::job_backoff_max_s;
-        if (type == nullptr || in_doubt) {
-            continue;
+        plan_job(plan, *job);
+    }
+    plan_headroom(plan);
+    plan_cheap_headroom(plan);
+    order(plan);
+    for (auto& r : rentals_) {
+        if (!r.open && ctx_.now.steady >= r.next_try) {
+            send(r);
         }
-        // Idle work has cheap machines rented for it, ordinary ones only if it may not use others.
-        bool idle_work = Scheduler::idle_work(s);
-        std::optional<std::string> only = s.zone;
-        std::map<std::string, int> in_zone;
-        job->each_placement([&](int, const Placement& p) {
-            in_zone[p.zone]++;
-            if (s.together) {
-                only = p.zone;
-            }
-            return true;
-        });
-        // A job that may use cheap machines takes an empty ordinary one only if no cheap one can
-        // be had.
-        bool cheap = s.spot && (idle_work || pick_zone(type->name, true, only, load));
-        auto demands = Scheduler::demands(s) + (cheap ? "|cheap|" : "|");
-        auto fits = [&](const Bin& b) {
-            bool type_ok =
-                !s.types || std::find(s.types->begin(), s.types->end(), b.type) != s.types->end();
-            const MachineType* t = fleet_.type(b.type);
-            bool scraps = idle_work && !b.spot && s.each.gpus <= 0 && t != nullptr;
-            return type_ok && (!b.spot || s.spot) && (!cheap || b.spot || !b.empty) &&
-                   s.each.fits_in(scraps ? Scheduler::leftover(*t, b.room) : b.room);
-        };
-        auto next = [&](const std::string& zone, std::size_t from) {
-            while (from < free.size() && (free[from].zone != zone || !fits(free[from]))) {
-                ++from;
-            }
-            return from;
-        };
-        if (s.together && !only && s.tasks > 1) {
-            // The zone with most room, so that little must be rented beside it.
-            int most = 0;
-            for (const auto& zone : type->zones) {
-                int found = 0;
-                for (std::size_t i = next(zone, cursors[demands + zone]);
-                     i < free.size() && found < s.tasks; i = next(zone, i + 1)) {
-                    ++found;
-                }
-                if (found > most) {
-                    most = found;
-                    only = zone;
-                }
-            }
+    }
+}
+
+// Finds room for each of the job's tasks that is still to be placed, or wants a machine for it.
+void Provisioner::plan_job(Plan& plan, const Job& job) {
+    const JobSpec& s = job.spec;
+    const MachineType* type = cheapest(s);
+    // Nothing is rented for a job that is likely to fail again, unless it finds no room for
+    // long: it must have its tries.
+    bool in_doubt = job.doubtful() && scheduler_.waited_s(s.uid) < constants::job_backoff_max_s;
+    if (type == nullptr || in_doubt) {
+        return;
+    }
+    Need need = need_of(plan, job, *type);
+    for (int i = 0; i < job.open(); ++i) {
+        Resources sum = plan.planned[s.team] + s.each;
+        if (!quota_.within_limit(s.team, sum)) {
+            return;
         }
-        for (int i = 0; i < job->open(); ++i) {
-            Resources sum = planned[s.team] + s.each;
-            if (!quota_.within_limit(s.team, sum)) {
-                break;
-            }
-            planned[s.team] = sum;
-            std::size_t found = free.size();
-            std::set<std::string> barred;  // where the job has all that its spread allows
-            for (const auto& zone : type->zones) {
-                if (s.spread && in_zone[zone] >= (s.tasks + 1) / 2) {
-                    barred.insert(zone);
-                    continue;
-                }
-                if (only && *only != zone) {
-                    continue;
-                }
-                std::size_t& cursor = cursors[demands + zone];
-                cursor = next(zone, cursor);
-                found = std::min(found, cursor);
-            }
-            if (found == free.size()) {
-                bool spot = s.spot;
-                auto zone = pick_zone(type->name, spot, only, load, barred);
-                if (!zone && spot && !idle_work) {
-                    spot = false;
-                    zone = pick_zone(type->name, spot, only, load, barred);
-                }
-                if (!zone) {
-                    break;
-                }
-                // One look's worth: what a larger job needs beyond it, the next looks see.
-                if (++wanted[{type->name, *zone, spot}] > constants::rental_look) {
-                    break;
-                }
-                load[*zone]++;
-                free.push_back({*zone, type->name, spot, true, type->size});
-            }
-            Bin& bin = free[found];
-            bin.room -= s.each;
-            bin.empty = false;
-            in_zone[bin.zone]++;
-            if (s.together && !only) {
-                only = bin.zone;
-            }
+        plan.planned[s.team] = sum;
+        std::set<std::string> barred;
+        std::size_t found = find_room(plan, need, barred);
+        if (found == plan.free.size() && !want(plan, need, barred)) {
+            return;
+        }
+        Bin& bin = plan.free[found];
+        bin.room -= s.each;
+        bin.empty = false;
+        need.in_zone[bin.zone]++;
+        if (s.together && !need.only) {
+            need.only = bin.zone;
         }
     }
-    // Headroom: whole empty machines for work that has not come yet.
-    double spare = 0;
-    for (const auto& b : free) {
-        spare += b.empty && !b.spot ? 1 : 0;
+}
+
+Provisioner::Need Provisioner::need_of(Plan& plan, const Job& job, const MachineType& type) const {
+    const JobSpec& s = job.spec;
+    Need need;
+    need.spec = &s;
+    need.type = &type;
+    // Idle work has cheap machines rented for it, ordinary ones only if it may not use others.
+    need.idle_work = Scheduler::idle_work(s);
+    need.only = s.zone;
+    job.each_placement([&](int, const Placement& p) {
+        need.in_zone[p.zone]++;
+        if (s.together) {
+            need.only = p.zone;
+        }
+        return true;
+    });
+    // A job that may use cheap machines takes an empty ordinary one only if no cheap one can
+    // be had.
+    need.cheap = s.spot && (need.idle_work || pick_zone(type.name, true, need.only, plan.load));
+    need.demands = Scheduler::demands(s) + (need.cheap ? "|cheap|" : "|");
+    if (s.together && !need.only && s.tasks > 1) {
+        need.only = roomiest_zone(plan, need);
+    }
+    return need;
+}
+
+bool Provisioner::takes(const Bin& b, const Need& need) const {
+    const JobSpec& s = *need.spec;
+    bool type_ok =
+        !s.types || std::find(s.types->begin(), s.types->end(), b.type) != s.types->end();
+    const MachineType* t = fleet_.type(b.type);
+    bool scraps = need.idle_work && !b.spot && s.each.gpus <= 0 && t != nullptr;
+    return type_ok && (!b.spot || s.spot) && (!need.cheap || b.spot || !b.empty) &&
+           s.each.fits_in(scraps ? Scheduler::leftover(*t, b.room) : b.room);
+}
+
+std::size_t Provisioner::next(const Plan& plan, const Need& need, const std::string& zone,
+                              std::size_t from) const {
+    while (from < plan.free.size() &&
+           (plan.free[from].zone != zone || !takes(plan.free[from], need))) {
+        ++from;
+    }
+    return from;
+}
+
+// The zone with most room, so that little must be rented beside it.
+std::optional<std::string> Provisioner::roomiest_zone(Plan& plan, const Need& need) const {
+    std::optional<std::string> best;
+    int most = 0;
+    for (const auto& zone : need.type->zones) {
+        int found = 0;
+        for (std::size_t i = next(plan, need, zone, plan.cursors[need.demands + zone]);
+             i < plan.free.size() && found < need.spec->tasks; i = next(plan, need, zone, i + 1)) {
+            ++found;
+        }
+        if (found > most) {
+            most = found;
+            best = zone;
+        }
     }
+    return best;
+}
+
+// The first bin that takes a task, or the end. Names the zones in which the job has all that its
+// spread allows.
+std::size_t Provisioner::find_room(Plan& plan, Need& need, std::set<std::string>& barred) const {
+    const JobSpec& s = *need.spec;
+    std::size_t found = plan.free.size();
+    for (const auto& zone : need.type->zones) {
+        if (s.spread && need.in_zone[zone] >= (s.tasks + 1) / 2) {
+            barred.insert(zone);
+            continue;
+        }
+        if (need.only && *need.only != zone) {
+            continue;
+        }
+        std::size_t& cursor = plan.cursors[need.demands + zone];
+        cursor = next(plan, need, zone, cursor);
+        found = std::min(found, cursor);
+    }
+    return found;
+}
+
+// Wants one more machine for the job, as the last bin; false if none can be had now.
+bool Provisioner::want(Plan& plan, const Need& need, const std::set<std::string>& barred) const {
+    bool spot = need.spec->spot;
+    const auto& type = need.type->name;
+    auto zone = pick_zone(type, spot, need.only, plan.load, barred);
+    if (!zone && spot && !need.idle_work) {
+        spot = false;
+        zone = pick_zone(type, spot, need.only, plan.load, barred);
+    }
+    // One look's worth: what a larger job needs beyond it, the next looks see.
+    if (!zone || ++plan.wanted[{type, *zone, spot}] > constants::rental_look) {
+        return false;
+    }
+    plan.load[*zone]++;
+    plan.free.push_back({*zone, type, spot, true, need.type->size});
+    return true;
+}
+
+const MachineType* Provisioner::base_type() const {
     const MachineType* base = nullptr;
     for (const auto& t : fleet_.types()) {
         base = base == nullptr || t.price < base->price ? &t : base;
     }
+    return base;
+}
+
+// Whole empty machines for work that has not come yet.
+void Provisioner::plan_headroom(Plan& plan) const {
+    const MachineType* base = base_type();
+    double spare = 0;
+    for (const auto& b : plan.free) {
+        spare += b.empty && !b.spot ? 1 : 0;
+    }
     for (int wish = headroom(); base != nullptr && spare < wish; ++spare) {
-        auto zone = pick_zone(base->name, false, std::nullopt, load);
+        auto zone = pick_zone(base->name, false, std::nullopt, plan.load);
         if (!zone) {
             break;
         }
-        wanted[{base->name, *zone, false}]++;
-        load[*zone]++;
+        plan.wanted[{base->name, *zone, false}]++;
+        plan.load[*zone]++;
     }
-    // The same for work that may use cheap machines.
+}
+
+// The same for work that may use cheap machines.
+void Provisioner::plan_cheap_headroom(Plan& plan) const {
+    const MachineType* base = base_type();
     double cheap = 0;
-    for (const auto& b : free) {
+    for (const auto& b : plan.free) {
         const MachineType* t = fleet_.type(b.type);
         cheap += b.spot && t != nullptr && t->size.cpus > 0 ? b.room.cpus / t->size.cpus : 0;
     }
     if (base != nullptr && cheap < constants::cheap_headroom &&
         fleet_.cheap_arrivals(ctx_.now.wall - constants::arrivals_s) > 0) {
-        if (auto zone = pick_zone(base->name, true, std::nullopt, load)) {
-            wanted[{base->name, *zone, true}]++;
+        if (auto zone = pick_zone(base->name, true, std::nullopt, plan.load)) {
+            plan.wanted[{base->name, *zone, true}]++;
         }
     }
-    for (const auto& [kind, count] : wanted) {
+}
+
+void Provisioner::order(const Plan& plan) {
+    for (const auto& [kind, count] : plan.wanted) {
         for (int left = std::min(count, constants::rental_look); left > 0;
              left -= constants::rental_max) {
             Rental r;
@@ -520,11 +574,6 @@
             rentals_.push_back(r);
         }
     }
-    for (auto& r : rentals_) {
-        if (!r.open && ctx_.now.steady >= r.next_try) {
-            send(r);
-        }
-    }
 }
 
 void Provisioner::send(Rental& rental) {
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -40,6 +40,25 @@
         bool empty = true;
         Resources room;
     };
+    // One look at the open jobs: room that is there or coming, and what is to be rented.
+    struct Plan {
+        std::vector<Bin> free;
+        std::map<std::string, int> load;  // machines by zone
+        std::map<Kind, int> wanted;
+        std::map<std::string, Resources> planned;  // by team
+        // Room only shrinks while jobs are gone through: for each demand and zone, where to go on.
+        std::map<std::string, std::size_t> cursors;
+    };
+    // What one job asks of it.
+    struct Need {
+        const JobSpec* spec = nullptr;
+        const MachineType* type = nullptr;
+        bool idle_work = false;
+        bool cheap = false;                  // a cheap machine can be had for it
+        std::optional<std::string> only;     // zone
+        std::map<std::string, int> in_zone;  // its tasks
+        std::string demands;                 // equal for jobs that the same bins take
+    };
 
     void look_at_types();
     void list(const std::string& after);
@@ -49,6 +68,18 @@
     bool not_said(const std::string& key, const std::string& machine) const;
     void retire_marks();
     void rent();
+    void plan_job(Plan& plan, const Job& job);
+    Need need_of(Plan& plan, const Job& job, const MachineType& type) const;
+    bool takes(const Bin& bin, const Need& need) const;
+    std::size_t next(const Plan& plan, const Need& need, const std::string& zone,
+                     std::size_t from) const;
+    std::optional<std::string> roomiest_zone(Plan& plan, const Need& need) const;
+    std::size_t find_room(Plan& plan, Need& need, std::set<std::string>& barred) const;
+    bool want(Plan& plan, const Need& need, const std::set<std::string>& barred) const;
+    const MachineType* base_type() const;
+    void plan_headroom(Plan& plan) const;
+    void plan_cheap_headroom(Plan& plan) const;
+    void order(const Plan& plan);
     void send(Rental& rental);
     void return_idle();
     // Whole machines to keep empty: as many as are asked for during a boot, from what came
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -557,24 +557,15 @@
     return static_cast<int>(claimed);
 }
 
+// Whole or not at all: every block of the job goes into one transaction, so that one controller
+// starts it, also on machines of others, which launch what the records say. Returns whether the
+// job's room is there, or is not what it lacks.
 bool Scheduler::claim_gang(Round& round, const Job& job, Wait& w) {
-    // Whole or not at all: every block of the job goes into one transaction, so that one
-    // controller starts it, also on machines of others, which launch what the records say.
     const JobSpec& s = job.spec;
-    int blocks = job.block_count();
-    if (blocks + 1 > ctx_.settings.state_txn_ops || job.open() != s.tasks) {
+    auto blocks = next_attempt(job);
+    if (blocks.empty()) {
         return false;
     }
-    std::map<int, Block> next;
-    std::uint64_t attempt = 0;
-    for (int k = 0; k < blocks; ++k) {
-        if (ctx_.busy.count(job.block_key(k)) != 0) {
-            return false;
-        }
-        next[k] = job.block(k);
-        attempt = std::max(attempt, next[k].attempt);
-    }
-    ++attempt;
     auto key = fmt::format("{}|{}", s.tasks, demands(s));
     bool holding = held_since_.count(s.uid) != 0;
     if (!holding && round.hopeless.count(key) != 0) {
@@ -584,6 +575,67 @@
         round.others = true;
         gather(round, false);
     }
+    GangPlaces best = gang_places(round, job);
+    if (best.places.empty()) {
+        if (!holding) {
+            round.hopeless.insert(key);
+        }
+        return false;
+    }
+    double most = longest_pass(*best.places.front().second->machine, s, false);
+    if (best.local < s.tasks && w.level == 0 && w.wait < most && local_chance(round, job)) {
+        w.skipped = true;
+        return true;  // it has room: nothing needs to be held for it
+    }
+    if (!enter_places(job, best, blocks)) {
+        ctx_.to_part.insert(s.uid);  // its blocks are of the version before
+        return true;
+    }
+    send_batch();  // a gang's blocks have a transaction of their own
+    Resources all = s.each * s.tasks;
+    if (!quota_.within_limit(s.team, all) || !quota_.cover(s.team, all, batch_.txn)) {
+        return true;  // no room is missing
+    }
+    std::vector<std::string> names;
+    int image = fleet_.image_number(s.image);
+    for (const auto& [t, offer] : best.places) {
+        names.push_back(offer->machine->name);
+        offer->room -= s.each;
+        offer->empty = false;
+        offer->images.push_back(image);
+    }
+    add_claim(job, blocks, names, s.tasks);
+    send_batch();
+    w.wait = 0;
+    w.level = best.local == s.tasks ? 0 : 1;
+    return true;
+}
+
+// The gang's blocks with the number of its next attempt; empty if it can't be claimed now.
+std::map<int, Block> Scheduler::next_attempt(const Job& job) const {
+    int count = job.block_count();
+    if (count + 1 > ctx_.settings.state_txn_ops || job.open() != job.spec.tasks) {
+        return {};
+    }
+    std::map<int, Block> blocks;
+    std::uint64_t attempt = 0;
+    for (int k = 0; k < count; ++k) {
+        if (ctx_.busy.count(job.block_key(k)) != 0) {
+            return {};
+        }
+        blocks[k] = job.block(k);
+        attempt = std::max(attempt, blocks[k].attempt);
+    }
+    for (auto& [k, b] : blocks) {
+        b.attempt = attempt + 1;
+    }
+    return blocks;
+}
+
+// Where the gang could start whole: with most of its tasks on machines that have its image, and of
+// equals in our zone.
+Scheduler::GangPlaces Scheduler::gang_places(Round& round, const Job& job) const {
+    const JobSpec& s = job.spec;
     int image = fleet_.image_number(s.image);
     std::map<std::string, std::vector<Choice>> zones;
     for (auto& offer : round.offers) {
@@ -596,73 +648,55 @@
         double rank = (offer.mine ? 0 : 2) + (offer.machine->request ? 0 : 1);
         zones[s.together ? offer.machine->zone : ""].push_back({&offer, local, rank});
     }
-    std::vector<std::pair<int, Offer*>> best;
-    int best_local = -1;
+    GangPlaces best;
     for (auto& [zone, choices] : zones) {
         std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
             return std::make_tuple(!a.local, a.rank) < std::make_tuple(!b.local, b.rank);
         });
-        std::vector<std::pair<int, Offer*>> places;
-        std::map<std::string, int> in_zone;
-        int half = (s.tasks + 1) / 2;
-        int local = 0;
-        for (const auto& c : choices) {
-            Resources room = c.offer->room;
-            while (static_cast<int>(places.size()) < s.tasks && s.each.fits_in(room) &&
-                   (!s.spread || in_zone[c.offer->machine->zone] < half)) {
-                room -= s.each;
-                in_zone[c.offer->machine->zone]++;
-                local += c.local ? 1 : 0;
-                places.emplace_back(static_cast<int>(places.size()), c.offer);
-            }
-        }
+        GangPlaces here = fill(choices, s);
         bool own = zone == ctx_.settings.zone;
-        if (static_cast<int>(places.size()) == s.tasks &&
-            (local > best_local || (local == best_local && own))) {
-            best = std::move(places);
-            best_local = local;
-        }
-    }
-    if (best.empty()) {
-        if (!holding) {
-            round.hopeless.insert(key);
+        if (static_cast<int>(here.places.size()) == s.tasks &&
+            (here.local > best.local || (here.local == best.local && own))) {
+            best = std::move(here);
         }
-        return false;
-    }
-    double most = longest_pass(*best.front().second->machine, s, false);
-    if (best_local < s.tasks && w.level == 0 && w.wait < most && local_chance(round, job)) {
-        w.skipped = true;
-        return true;  // it has room: nothing needs to be held for it
     }
+    return best;
+}
+
+// As many of a gang's tasks as the choices take, in their order.
+Scheduler::GangPlaces Scheduler::fill(const std::vector<Choice>& choices, const JobSpec& s) {
+    GangPlaces here;
+    here.local = 0;
+    std::map<std::string, int> in_zone;
+    int half = (s.tasks + 1) / 2;
+    for (const auto& c : choices) {
+        Resources room = c.offer->room;
+        while (static_cast<int>(here.places.size()) < s.tasks && s.each.fits_in(room) &&
+               (!s.spread || in_zone[c.offer->machine->zone] < half)) {
+            room -= s.each;
+            in_zone[c.offer->machine->zone]++;
+            here.local += c.local ? 1 : 0;
+            here.places.emplace_back(static_cast<int>(here.places.size()), c.offer);
+        }
+    }
+    return here;
+}
+
+// Enters the places into the gang's blocks; false if one of them outgrows its record.
+bool Scheduler::enter_places(const Job& job, const GangPlaces& best,
+                             std::map<int, Block>& blocks) const {
     std::map<int, std::size_t> bytes;
-    for (const auto& [t, offer] : best) {
-        auto [sum, first] = bytes.try_emplace(job.block_of(t), bytes_of(next[job.block_of(t)]));
-        sum->second +=
-            bytes_of(t, {offer->machine->name, offer->machine->zone, attempt, ctx_.me.id});
+    for (const auto& [t, offer] : best.places) {
+        int k = job.block_of(t);
+        Block& b = blocks[k];
+        auto [sum, first] = bytes.try_emplace(k, bytes_of(job.block(k)));
+        Placement place{offer->machine->name, offer->machine->zone, b.attempt, ctx_.me.id};
+        sum->second += bytes_of(t, place);
         if (sum->second > ctx_.value_max()) {
-            ctx_.to_part.insert(s.uid);  // its blocks are of the version before
-            return true;
+            return false;
         }
+        b.placed[t] = std::move(place);
     }
-    send_batch();  // a gang's blocks have a transaction of their own
-    Resources all = s.each * s.tasks;
-    if (!quota_.within_limit(s.team, all) || !quota_.cover(s.team, all, batch_.txn)) {
-        return true;  // no room is missing
-    }
-    std::vector<std::string> names;
-    for (const auto& [t, offer] : best) {
-        Block& b = next[job.block_of(t)];
-        b.attempt = attempt;
-        b.placed[t] = {offer->machine->name, offer->machine->zone, attempt, ctx_.me.id};
-        names.push_back(offer->machine->name);
-        offer->room -= s.each;
-        offer->empty = false;
-        offer->images.push_back(image);
-    }
-    add_claim(job, next, names, s.tasks);
-    send_batch();
-    w.wait = 0;
-    w.level = best_local == s.tasks ? 0 : 1;
     return true;
 }
 
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -89,6 +89,11 @@
         bool local = false;
         double rank = 0;
     };
+    // Where a gang could start: its tasks, and how many of them find their image there.
+    struct GangPlaces {
+        std::vector<std::pair<int, Offer*>> places;
+        int local = -1;
+    };
     // Answers that hold for every job of the same demands, kept for one round.
     struct Round {
         std::vector<Offer> offers;
@@ -103,6 +108,10 @@
     void walk(Round& round, const Job& job);
     int claim_tasks(const Job& job, const std::vector<Choice>& choices);
     bool claim_gang(Round& round, const Job& job, Wait& w);
+    std::map<int, Block> next_attempt(const Job& job) const;
+    GangPlaces gang_places(Round& round, const Job& job) const;
+    static GangPlaces fill(const std::vector<Choice>& choices, const JobSpec& spec);
+    bool enter_places(const Job& job, const GangPlaces& best, std::map<int, Block>& blocks) const;
     double dominant(const Resources& amount) const;
     Resources room_for(const Offer& offer, const JobSpec& spec) const;
     bool local_chance(Round& round, const Job& job) const;
