Rentals of a leading member that ends; saving before a spot machine goes

Need: what a leading member had rented and the list did not show yet was rented again by the next one, and by itself at every new epoch. Tasks on a machine under notice ran until it was gone and lost what they had done since their last checkpoint. Change: the leading member tells its peers what it asks for and what that brought; whoever leads next asks again under the same name, which rents nothing twice, and counts what came. Rentals outlive an epoch with the same leader. Tasks that can save are told to, as late as it may be.

--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -130,12 +130,24 @@
     std::optional<Report> report;
 };
 
+// A rental of the leading member, as it tells the others: under way, or what it brought.
+struct RentalWord {
+    std::string request;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    int count = 0;
+    bool open = true;
+    std::vector<std::string> machines;
+};
+
 // A message to a peer; relays carry a report and expect a worker's answer.
 struct PeerCall {
     std::uint64_t id = 0;
     std::string peer;
     bool state_contact = false;
     std::optional<Report> relay;
+    std::vector<RentalWord> rentals;
 };
 
 struct LogLine {
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -192,6 +192,9 @@
 inline constexpr double order_timeout_s = 2.0;
 // s between repeated direct stops of the same task
 inline constexpr double stop_repeat_s = 2.0;
+// s before a spot machine's end, beside the time to save, at which its tasks are told to: two looks
+// at the machine and a command that must be repeated
+inline constexpr double spot_save_margin_s = 3.0;
 // fraction of cancel_s after which a machine that still has a cancelled task is released
 inline constexpr double cancel_fence_share = 0.4;
 // share of an owner's machines that may be silent at once before it suspects itself
@@ -219,6 +222,8 @@
 inline constexpr double list_share_others = 0.08;
 // times list_lag_s between listings: more often they say nothing new
 inline constexpr double list_lag_factor = 0.4;
+// times list_lag_s after which the list shows a machine at the latest, the protocol's bound
+inline constexpr double list_lag_most = 2.0;
 // s between looks at prices and types
 inline constexpr double types_every_s = 60.0;
 // s between words in the log about the whole fleet
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -101,9 +101,11 @@
     fleet_.report(request, report, relayed);
 }
 
-void Controller::peer_word(Now now, const std::string& peer, bool contact) {
+void Controller::peer_word(Now now, const std::string& peer, bool contact,
+                           const std::vector<RentalWord>& rentals) {
     ctx_.now = now;
     members_.peer_word(peer, contact);
+    provisioner_.hear(rentals);
 }
 
 void Controller::state_reply(Now now, std::uint64_t id, const StateReply& reply) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -36,7 +36,8 @@
     bool healthy(Now now);
 
     void report(Now now, std::uint64_t request, const Report& report, bool relayed);
-    void peer_word(Now now, const std::string& peer, bool contact);
+    void peer_word(Now now, const std::string& peer, bool contact,
+                   const std::vector<RentalWord>& rentals);
 
     void state_reply(Now now, std::uint64_t id, const StateReply& reply);
     void cloud_reply(Now now, std::uint64_t id, const CloudReply& reply);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -920,6 +920,7 @@
         note_empty(m);
         if (ctx_.member && m.mine && ctx_.jobs.mark(m.name) == nullptr) {
             repeat_stops(m);
+            save_in_time(m);
             look_after(m, silence);
         }
     }
@@ -1001,6 +1002,30 @@
     }
 }
 
+// Before a machine is taken away, what can save on it does: its progress since the last checkpoint
+// would be lost, and it starts elsewhere the sooner. As late as it may be, since what runs may end.
+void Fleet::save_in_time(Machine& m) {
+    if (!m.notice_until || !m.adopted) {
+        return;
+    }
+    double left = *m.notice_until - ctx_.now.steady;
+    for (const auto& [id, on] : ctx_.jobs.on_machine(m.name)) {
+        const JobSpec& s = on.job->spec;
+        Attempt attempt{id, on.place->attempt};
+        auto t = m.tasks.find(attempt);
+        bool alone = s.kind == JobKind::array || s.tasks == 1;
+        if (s.checkpoint_s <= 0 || !alone || s.kind == JobKind::service || t == m.tasks.end() ||
+            t->second.state != TaskState::running) {
+            continue;
+        }
+        double to_go = s.estimate_s - (ctx_.now.steady - placed_at(id));
+        bool ends_first = to_go > 0 && to_go < left;
+        if (left <= s.save_s + constants::spot_save_margin_s && !ends_first) {
+            stop(m, attempt, s.save_s);
+        }
+    }
+}
+
 // s without a report after which a machine is fenced.
 double Fleet::patience_s(const Machine& m, const Silence& silence) const {
     double limit = silence_s();
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -178,6 +178,7 @@
     Silence count_silent();
     bool over(Machine& m) const;
     void repeat_stops(Machine& m);
+    void save_in_time(Machine& m);
     double patience_s(const Machine& m, const Silence& silence) const;
     void look_after(Machine& m, const Silence& silence);
     bool cut_from_workers(int mine) const;
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -6,11 +6,80 @@
 namespace cranemoor::core {
 
 void Provisioner::epoch_changed() {
-    // Requests carry the epoch's number in their names: another epoch makes names of its own.
-    // What an earlier request may still bring shows in the list of machines.
-    rentals_.clear();
-    rentals_made_ = 0;
     next_list_ = 0;
+    if (members_.leading()) {
+        take_over();
+    } else {
+        // What they may still bring is the next leading member's: it was told.
+        rentals_.clear();
+    }
+}
+
+// s that the list may need to show what a rental brought
+double Provisioner::list_late_s() const {
+    return ctx_.settings.list_lag_s * constants::list_lag_most + constants::list_every_s;
+}
+
+void Provisioner::forget_words() {
+    std::erase_if(heard_,
+                  [&](const auto& h) { return ctx_.now.steady - h.second.second > list_late_s(); });
+}
+
+void Provisioner::hear(const std::vector<RentalWord>& words) {
+    forget_words();
+    for (const auto& word : words) {
+        auto [it, first] = heard_.try_emplace(word.request, word, ctx_.now.steady);
+        if (!first && it->second.first.open) {
+            it->second.first = word;
+        }
+    }
+}
+
+// Guards against machines rented twice, or idle until the list shows them, when the leading member
+// ends: what it had asked for is asked again under the same name, which rents nothing that was
+// rented, and what it was given counts at once.
+void Provisioner::take_over() {
+    forget_words();
+    for (auto& [request, heard] : std::exchange(heard_, {})) {
+        const auto& [word, at] = heard;
+        Kind kind{word.type, word.zone, word.spot};
+        if (!word.open) {
+            rented(kind, word.machines, ctx_.now.steady - at);
+            continue;
+        }
+        bool known =
+            std::any_of(rentals_.begin(), rentals_.end(),
+                        [&, name = request](const Rental& r) { return r.request == name; });
+        if (!known) {
+            ctx_.info("rental {}: taken over", request);
+            rentals_.push_back({request, kind, word.count, 0, false});
+        }
+    }
+}
+
+// Machines that the list doesn't show yet.
+void Provisioner::rented(const Kind& kind, const std::vector<std::string>& machines, double age_s) {
+    const auto& [type, zone, spot] = kind;
+    std::vector<ListedMachine> list;
+    for (const auto& m : machines) {
+        if (ctx_.jobs.mark(m) == nullptr) {
+            list.push_back({m, "", type, zone, spot, ListedState::starting, age_s});
+        }
+    }
+    fleet_.listed(list);
+}
+
+void Provisioner::tell(std::vector<RentalWord> words) const {
+    if (words.empty()) {
+        return;
+    }
+    for (const auto& peer : ctx_.settings.peers) {
+        PeerCall call;
+        call.peer = peer.name;
+        call.state_contact = members_.in_contact();
+        call.rentals = words;
+        ctx_.peer(call, [](bool, const std::optional<WorkerReply>&) {});
+    }
 }
 
 void Provisioner::tick() {
@@ -564,6 +633,7 @@
 }
 
 void Provisioner::order(const Plan& plan) {
+    std::vector<RentalWord> words;
     for (const auto& [kind, count] : plan.wanted) {
         for (int left = std::min(count, constants::rental_look); left > 0;
              left -= constants::rental_max) {
@@ -572,8 +642,11 @@
             r.kind = kind;
             r.count = std::min(left, constants::rental_max);
             rentals_.push_back(r);
+            const auto& [type, zone, spot] = kind;
+            words.push_back({r.request, type, zone, spot, r.count, true, {}});
         }
     }
+    tell(std::move(words));
 }
 
 void Provisioner::send(Rental& rental) {
@@ -599,19 +672,18 @@
         switch (r.status) {
             case CloudReply::Status::ok: {
                 ctx_.info("rented {}: {}", name, fmt::join(r.machines, ","));
-                std::vector<ListedMachine> list;
-                for (const auto& m : r.machines) {
-                    list.push_back({m, "", type, zone, spot, ListedState::starting, 0});
-                }
+                tell({{name, type, zone, spot, it->count, false, r.machines}});
                 if (static_cast<int>(r.machines.size()) < it->count) {
                     no_capacity_until_[it->kind] = ctx_.now.steady + constants::no_capacity_s;
                 }
+                Kind kind = it->kind;
                 rentals_.erase(it);
-                fleet_.listed(list);
+                rented(kind, r.machines, 0);
                 break;
             }
             case CloudReply::Status::no_capacity:
                 ctx_.info("rental {}: no capacity", name);
+                tell({{name, type, zone, spot, it->count, false, {}}});
                 no_capacity_until_[it->kind] = ctx_.now.steady + constants::no_capacity_s;
                 rentals_.erase(it);
                 break;
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -23,6 +23,8 @@
 
     void tick();
     void epoch_changed();
+    // What the leading member says of its rentals.
+    void hear(const std::vector<RentalWord>& words);
 
   private:
     using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
@@ -80,6 +82,11 @@
     void plan_headroom(Plan& plan) const;
     void plan_cheap_headroom(Plan& plan) const;
     void order(const Plan& plan);
+    void tell(std::vector<RentalWord> words) const;
+    void take_over();
+    double list_late_s() const;
+    void forget_words();
+    void rented(const Kind& kind, const std::vector<std::string>& machines, double age_s);
     void send(Rental& rental);
     void return_idle();
     // Whole machines to keep empty: as many as are asked for during a boot, from what came
@@ -111,6 +118,8 @@
     double next_retire_ = 0;
     std::uint64_t rentals_made_ = 0;
     std::vector<Rental> rentals_;
+    // What the leading member said, by request, and when: until the list shows what they brought.
+    std::map<std::string, std::pair<RentalWord, double>> heard_;
     std::map<Kind, double> no_capacity_until_;
     std::map<std::string, double> gone_since_;  // by key of marks
 };
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -668,9 +668,43 @@
     if (call.relay) {
         v["report"] = write_report(*call.relay);
     }
+    for (const auto& r : call.rentals) {
+        v["rentals"].push_back({{"request", r.request},
+                                {"type", r.type},
+                                {"zone", r.zone},
+                                {"spot", r.spot},
+                                {"count", r.count},
+                                {"open", r.open},
+                                {"machines", r.machines}});
+    }
     return encode(v);
 }
 
+namespace {
+std::optional<std::vector<RentalWord>> read_rentals(const Json& list) {
+    std::vector<RentalWord> words;
+    if (!list.is_array()) {
+        return std::nullopt;
+    }
+    for (const auto& each : list) {
+        Fields f(each);
+        RentalWord r;
+        r.request = f.text("request");
+        r.type = f.text("type");
+        r.zone = f.text("zone");
+        r.spot = f.flag("spot");
+        r.count = static_cast<int>(f.count("count", 1, constants::rental_max));
+        r.open = f.flag("open");
+        r.machines = f.texts("machines");
+        if (!f.ok()) {
+            return std::nullopt;
+        }
+        words.push_back(std::move(r));
+    }
+    return words;
+}
+}  // namespace
+
 std::optional<PeerMessage> read_peer(const std::string& body) {
     auto value = decode(body);
     if (!value || !value->is_object()) {
@@ -689,6 +723,13 @@
             return std::nullopt;
         }
     }
+    if (!f.null("rentals")) {
+        auto words = read_rentals(value->at("rentals"));
+        if (!words) {
+            return std::nullopt;
+        }
+        m.rentals = std::move(*words);
+    }
     return m;
 }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -50,6 +50,7 @@
     std::string from;
     bool state_contact = false;
     std::optional<core::Report> relay;
+    std::vector<core::RentalWord> rentals;
 };
 std::string peer_body(const std::string& from, const core::PeerCall& call);
 std::optional<PeerMessage> read_peer(const std::string& body);
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -963,6 +963,39 @@
     EXPECT_EQ(w.running("req-000001"), 0);
 }
 
+TEST_F(Story, WhatCanSaveOnASpotMachineDoesSoBeforeItGoes) {
+    begin();
+    w.capacity = 0;
+    w.run_s = 300;
+    auto& spot = w.add_machine("vm-500000", "a", true);
+    auto saves = w.job(1, JobKind::array, 2);
+    saves.spot = true;
+    saves.checkpoint_s = 10;
+    saves.save_s = 2;
+    saves.estimate_s = 300;
+    auto loses = w.job(2, JobKind::array, 2);
+    loses.spot = true;
+    loses.estimate_s = 300;
+    w.submit_and_wait(0, saves);
+    w.submit_and_wait(0, loses);
+    ASSERT_TRUE(
+        w.until([&] { return w.running("req-000001") + w.running("req-000002") == 4; }, 30));
+    std::set<TaskId> stopped;
+    w.on_command = [&](const std::string&, const Command& c) {
+        if (c.kind == Command::Kind::stop) {
+            EXPECT_GE(c.grace_s, 2);
+            stopped.insert(c.id);
+        }
+    };
+    spot.notice_s = 20;
+    ASSERT_TRUE(
+        w.until([&] { return w.node(0).fleet().find("vm-500000")->notice_until.has_value(); }, 5));
+    w.run(12);
+    EXPECT_TRUE(stopped.empty());  // not before it must be
+    w.run(6);
+    EXPECT_EQ(stopped, (std::set<TaskId>{{"req-000001", 0}, {"req-000001", 1}}));
+}
+
 // --- cloud --------------------------------------------------------------------------------
 
 TEST_F(Story, ARentalWithoutAnswerIsRepeatedUnderItsOwnName) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -380,7 +380,7 @@
             break;
         case CloudCall::Kind::list:
             for (auto& [name, m] : machines) {
-                if (!m.deleted && name > call.after) {
+                if (!m.deleted && name > call.after && now - m.made >= list_lag_s) {
                     m.info.state = now >= m.up_at ? ListedState::running : ListedState::starting;
                     r.listed.push_back(m.info);
                 }
@@ -404,6 +404,7 @@
                     return r;
                 }
                 ++rentals;
+                machines_rented += count;
                 for (int k = 0; k < count; ++k) {
                     std::string name = fmt::format("vm-{:06}", ++next_machine_);
                     add_machine(name, call.zone, call.spot).up_at = now + 5;
@@ -436,6 +437,7 @@
 FakeMachine& World::add_machine(const std::string& name, const std::string& zone, bool spot) {
     FakeMachine& m = machines[name];
     m.info = {name, name, "t8", zone, spot, ListedState::starting, 0};
+    m.made = now;
     m.up_at = now;
     m.lease_from = now;
     return m;
@@ -750,7 +752,7 @@
     int other = nodes_[static_cast<std::size_t>(to)].generation;
     after(delay(), [=, this] {
         to_node(to, other, [&](Controller& c) {
-            c.peer_word(time(), "n" + std::to_string(i), call.state_contact);
+            c.peer_word(time(), "n" + std::to_string(i), call.state_contact, call.rentals);
             if (call.relay) {
                 std::uint64_t request = ++next_request_;
                 worker_done_[request] = [=, this](const WorkerReply& reply) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -29,6 +29,7 @@
 
 struct FakeMachine {
     ListedMachine info;
+    double made = 0;
     double up_at = 0;
     bool deleted = false;
     bool hangs = false;  // silent and idle, but not gone
@@ -104,6 +105,7 @@
     double late_txn = 0;      // probability that a transaction is executed late
     double slow = 0;          // probability that a message takes long
     int capacity = 1000;
+    double list_lag_s = 0;  // until the cloud lists a new machine
     // What the state service takes: as the settings have it, until the story lowers it.
     std::optional<double> value_kb;
     std::optional<int> txn_ops;
@@ -112,6 +114,7 @@
     std::map<std::string, FakeMachine> machines;
     std::vector<std::string> broken;  // rules broken, in words
     int rentals = 0;
+    int machines_rented = 0;
     int transactions = 0;
     std::map<std::string, int> writes;  // puts and deletes by kind of record, as in "c/b"
     std::vector<Txn> refused_txns;
