--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -23,6 +23,8 @@
 
     void tick();
     void epoch_changed();
+    // What the leading member says of its rentals.
+    void hear(const std::vector<RentalWord>& words);
 
   private:
     using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
@@ -40,6 +42,25 @@
         bool empty = true;
         Resources room;
     };
+    // One look at the open jobs: room that is there or coming, and what is to be rented.
+    struct Plan {
+        std::vector<Bin> free;
+        std::map<std::string, int> load;  // machines by zone
+        std::map<Kind, int> wanted;
+        std::map<std::string, Resources> planned;  // by team
+        // Room only shrinks while jobs are gone through: for each demand and zone, where to go on.
+        std::map<std::string, std::size_t> cursors;
+    };
+    // What one job asks of it.
+    struct Need {
+        const JobSpec* spec = nullptr;
+        const MachineType* type = nullptr;
+        bool idle_work = false;
+        bool cheap = false;                  // a cheap machine can be had for it
+        std::optional<std::string> only;     // zone
+        std::map<std::string, int> in_zone;  // its tasks
+        std::string demands;                 // equal for jobs that the same bins take
+    };
 
     void look_at_types();
     void list(const std::string& after);
@@ -49,6 +70,23 @@
     bool not_said(const std::string& key, const std::string& machine) const;
     void retire_marks();
     void rent();
+    void plan_job(Plan& plan, const Job& job);
+    Need need_of(Plan& plan, const Job& job, const MachineType& type) const;
+    bool takes(const Bin& bin, const Need& need) const;
+    std::size_t next(const Plan& plan, const Need& need, const std::string& zone,
+                     std::size_t from) const;
+    std::optional<std::string> roomiest_zone(Plan& plan, const Need& need) const;
+    std::size_t find_room(Plan& plan, Need& need, std::set<std::string>& barred) const;
+    bool want(Plan& plan, const Need& need, const std::set<std::string>& barred) const;
+    const MachineType* base_type() const;
+    void plan_headroom(Plan& plan) const;
+    void plan_cheap_headroom(Plan& plan) const;
+    void order(const Plan& plan);
+    void tell(std::vector<RentalWord> words) const;
+    void take_over();
+    double list_late_s() const;
+    void forget_words();
+    void rented(const Kind& kind, const std::vector<std::string>& machines, double age_s);
     void send(Rental& rental);
     void return_idle();
     // Whole machines to keep empty: as many as are asked for during a boot, from what came
@@ -80,6 +118,8 @@
     double next_retire_ = 0;
     std::uint64_t rentals_made_ = 0;
     std::vector<Rental> rentals_;
+    // What the leading member said, by request, and when: until the list shows what they brought.
+    std::map<std::string, std::pair<RentalWord, double>> heard_;
     std::map<Kind, double> no_capacity_until_;
     std::map<std::string, double> gone_since_;  // by key of marks
 };
