Gangs of several tasks are stopped whole, so that they save

Need: a gang of several tasks was never preempted, and one that had to go lost all since its last checkpoint: its machines belong to several members, and all its tasks must be told within gang_peer_s. Change: the wish to stop an attempt is one write to the gang's first block, which every owner follows with its watch, directly and with its answers; the next claim takes it out. Preemption may choose a gang that can save, at the price of its saving, for a job that has waited as long as a boot; a spot notice on one of its machines asks for it too.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -307,7 +307,7 @@
 
 bool Fleet::wants_start(const Machine& m, const Job& job) const {
     return !job.cancelled && ctx_.jobs.mark(m.name) == nullptr && !m.marking && !m.notice_until &&
-           !gang_broken(job);
+           !gang_broken(job) && !job.stopping();
 }
 
 void Fleet::exited(Machine& m, const TaskStatus& s) {
@@ -316,7 +316,7 @@
     o.machine = m.name;
     o.done = s.why == ExitReason::done;
     o.error = s.why == ExitReason::error || s.why == ExitReason::unknown_task;
-    o.why = reason_name(s.why);
+    o.why = fmt::format("{}{}", reason_name(s.why), s.saved ? ", saved" : "");
     const Job* job = ctx_.jobs.find(s.id.uid);
     if (job == nullptr) {
         return;
@@ -808,9 +808,11 @@
     }
 }
 
-// A task that must end: its job was cancelled or its gang lost a part.
+// A task that must end: its job was cancelled, its gang lost a part, or is to be stopped whole.
+// Once one of its tasks has ended the gang has saved, or never will.
 void Fleet::stop_unwanted(Machine& m, const Job& job, const TaskId& id, const Placement& p) {
-    if (!m.mine || !m.adopted || !(job.cancelled || gang_broken(job))) {
+    bool at_once = job.cancelled || gang_broken(job);
+    if (!m.mine || !m.adopted || !(at_once || job.stopping())) {
         return;
     }
     Attempt attempt{id, p.attempt};
@@ -819,7 +821,7 @@
     // A start that has gone out but isn't reported yet must be stopped as well.
     bool there = t != m.tasks.end() || m.run_sent.count(attempt) != 0;
     if (there && !exited) {
-        stop(m, attempt, 0);
+        stop(m, attempt, at_once ? 0 : job.spec.save_s);
     }
 }
 
@@ -866,7 +868,7 @@
         }
         note_arrival(uid, *job);
         note_failures(uid, *job);
-        if (!job->cancelled && !gang_broken(*job)) {
+        if (!job->cancelled && !gang_broken(*job) && !job->stopping()) {
             continue;  // a job of many thousand tasks changes many times a second
         }
         job->each_placement([&](int task, const Placement& p) {
@@ -1013,15 +1015,19 @@
         const JobSpec& s = on.job->spec;
         Attempt attempt{id, on.place->attempt};
         auto t = m.tasks.find(attempt);
-        bool alone = s.kind == JobKind::array || s.tasks == 1;
-        if (s.checkpoint_s <= 0 || !alone || s.kind == JobKind::service || t == m.tasks.end() ||
+        if (s.checkpoint_s <= 0 || s.kind == JobKind::service || t == m.tasks.end() ||
             t->second.state != TaskState::running) {
             continue;
         }
         double to_go = s.estimate_s - (ctx_.now.steady - placed_at(id));
         bool ends_first = to_go > 0 && to_go < left;
-        if (left <= s.save_s + constants::spot_save_margin_s && !ends_first) {
+        if (left > s.save_s + constants::spot_save_margin_s || ends_first) {
+            continue;
+        }
+        if (s.kind == JobKind::array || s.tasks == 1) {
             stop(m, attempt, s.save_s);
+        } else if (GangStops::would_save(*on.job)) {
+            gang_stops_.ask(*on.job, "its machine " + m.name + " is taken away");
         }
     }
 }
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/context.hpp"
+#include "core/gang_stops.hpp"
 #include "core/membership.hpp"
 #include "core/outcomes.hpp"
 #include "core/quota.hpp"
@@ -84,7 +85,7 @@
 class Fleet {
   public:
     Fleet(Context& ctx, Membership& members, const Quota& quota)
-        : ctx_(ctx), members_(members), outcomes_(ctx, quota, *this) {}
+        : ctx_(ctx), members_(members), outcomes_(ctx, quota, *this), gang_stops_(ctx) {}
 
     // A report; relayed ones came over a peer and are never passed on again.
     void report(std::uint64_t request, const Report& report, bool relayed);
@@ -138,6 +139,7 @@
     // Whether all that is placed there has ended, as far as its owner knows.
     bool vacated(const Machine& m) const;
     const Outcomes& outcomes() const { return outcomes_; }
+    GangStops& gang_stops() { return gang_stops_; }
     void conclude_gone();
 
   private:
@@ -188,6 +190,7 @@
     Context& ctx_;
     Membership& members_;
     Outcomes outcomes_;
+    GangStops gang_stops_;
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
     mutable std::unordered_map<std::string, int> image_numbers_;
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -69,6 +69,12 @@
     void add_block(int block, const Block& next, Txn& txn) const;
     // Failed again after another try: its user's mistake is likelier than a second bad machine.
     bool doubtful() const { return fails >= constants::job_fails_doubtful; }
+    // A gang whose attempt is to be stopped whole, by all owners at once, so that it saves.
+    bool stopping() const {
+        const Block& first = block(0);
+        return spec.kind == JobKind::gang && first.stop != 0 && first.stop == first.attempt &&
+               placed_total > 0;
+    }
     // Visits all tasks with a place as (task, placement), until the visitor returns false.
     template <typename Visit>
     void each_placement(Visit visit) const {
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -30,8 +30,10 @@
 }
 
 bool Preemption::may_preempt(const Job& job, const Job& victim, double waited) const {
-    if (victim.spec.kind == JobKind::gang && victim.spec.tasks > 1) {
-        return false;  // its tasks on other machines would have to be stopped with it
+    if (victim.spec.kind == JobKind::gang && victim.spec.tasks > 1 &&
+        (!GangStops::would_save(victim) || victim.stopping() ||
+         waited < constants::gang_victim_s)) {
+        return false;  // all of it would have to be stopped with the one task that is in the way
     }
     if (victim.spec.priority < job.spec.priority) {
         // Whole machines are costly to clear: a gang first waits for one to be free or rented.
@@ -56,6 +58,9 @@
             // What has a checkpoint loses little, however long it ran.
             double lost =
                 other->spec.checkpoint_s > 0 ? std::min(ran, other->spec.checkpoint_s) : ran;
+            if (other->spec.kind == JobKind::gang && other->spec.tasks > 1) {
+                lost = fleet_.gang_stops().cost_s(*other);
+            }
             candidates.emplace_back(lost, id, other);
         }
     }
@@ -76,6 +81,22 @@
     return v;
 }
 
+void Preemption::stop(Machine& m, const Job& job, const TaskId& id) {
+    const Placement* p = ctx_.jobs.placement(id);
+    const Job* victim = ctx_.jobs.find(id.uid);
+    if (p == nullptr || victim == nullptr) {
+        return;
+    }
+    if (victim->spec.kind != JobKind::gang || victim->spec.tasks == 1) {
+        fleet_.stop(m, {id, p->attempt}, 0);
+        return;
+    }
+    // The room is there only when the gang has saved.
+    fleet_.gang_stops().ask(*victim, "makes room for " + job.spec.uid);
+    double saved = victim->spec.save_s + ctx_.settings.gang_peer_s;
+    scheduler_.hold(m.name, job.spec, saved + constants::preempt_pause_s);
+}
+
 void Preemption::look() {
     int looked = 0;
     for (const Job* job : scheduler_.order()) {
@@ -147,9 +168,7 @@
         scheduler_.hold(m.name, s, constants::preempt_pause_s);
         ctx_.info("preempt {} tasks on {} for {}", best->tasks.size(), m.name, s.uid);
         for (const auto& id : best->tasks) {
-            if (const Placement* p = ctx_.jobs.placement(id)) {
-                fleet_.stop(m, {id, p->attempt}, 0);
-            }
+            stop(m, *job, id);
         }
     }
 }
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -32,6 +32,7 @@
     };
 
     void look();
+    void stop(Machine& m, const Job& job, const TaskId& id);
     bool may_preempt(const Job& job, const Job& victim, double waited) const;
     std::optional<Victims> victims_on(Machine& m, const Job& job, double waited) const;
     bool below_guarantee(const std::string& team, const Resources& more) const;
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -188,6 +188,9 @@
         done.push_back(Json::array({from, to}));
     }
     Json v = {{"attempt", block.attempt}, {"placed", placed}, {"done", done}};
+    if (block.stop > 0) {
+        v["stop"] = block.stop;
+    }
     if (block.fails > 0) {
         v["fails"] = block.fails;
     }
@@ -212,6 +215,7 @@
         block.done.emplace_back(range.at(0).get<int>(), range.at(1).get<int>());
         block.done_total += block.done.back().second - block.done.back().first + 1;
     }
+    block.stop = v.value("stop", std::uint64_t{0});
     block.fails = v.value("fails", 0);
     block.cancelled_wall = v.value("cancelled", 0.0);
     if (v.contains("final")) {
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -70,6 +70,7 @@
     std::uint64_t attempt = 0;
     std::map<int, Placement> placed;        // by task number
     std::vector<std::pair<int, int>> done;  // ranges of task numbers, ends included
+    std::uint64_t stop = 0;         // attempt of a gang that is to be stopped whole, 0: none
     int fails = 0;                  // writes in a row that told of errors and of nothing done
     double cancelled_wall = 0;      // of a job without a record of its own; 0: it was not
     std::optional<Finished> final;  // of the whole job, in its first block
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -628,6 +628,7 @@
     }
     for (auto& [k, b] : blocks) {
         b.attempt = attempt + 1;
+        b.stop = 0;
     }
     return blocks;
 }
--- a/tests/rental_test.cpp
+++ b/tests/rental_test.cpp
@@ -34,9 +34,10 @@
 }
 
 TEST_F(LateList, AnEpochWithTheSameLeaderForgetsNoRental) {
+    w.rental_answer_s = 8;
     ask();
-    w.run(0.5);
     w.kill((leader + 1) % 3);
+    ASSERT_TRUE(w.until([&] { return w.all_members(2); }, 6));
     ASSERT_TRUE(w.until([&] { return w.finished("req-000001"); }, 90));
     EXPECT_EQ(w.machines_rented, 2);
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -428,7 +428,8 @@
         if (chance(lost_answers)) {
             reply = {};
         }
-        after(delay(), [=, this] {
+        double held = call.kind == CloudCall::Kind::rent ? rental_answer_s : 0;
+        after(held + delay(), [=, this] {
             to_node(i, generation, [&](Controller& c) { c.cloud_reply(time(), call.id, reply); });
         });
     });
@@ -524,7 +525,14 @@
             attempts.erase(it);
         }
     } else if (c.kind == Command::Kind::stop) {
-        if (it != attempts.end() && it->second.state != TaskState::exited) {
+        const JobSpec& s = specs_[c.id.uid];
+        bool together = s.kind == JobKind::gang && s.tasks > 1 && s.checkpoint_s > 0;
+        bool live = it != attempts.end() && it->second.state != TaskState::exited;
+        if (live && together && c.grace_s >= s.save_s && c.grace_s > 0 &&
+            (it->second.state == TaskState::running || it->second.state == TaskState::saving)) {
+            it->second.state = TaskState::saving;
+            it->second.told_at = std::min(it->second.told_at, now);
+        } else if (live) {
             it->second.state = TaskState::exited;
             it->second.why = ExitReason::stopped;
             it->second.saved = c.grace_s > 0;
@@ -650,6 +658,30 @@
     }
 }
 
+// A gang's tasks save together: all must be told within gang_peer_s of the first.
+void World::save_gang(const std::string& uid, std::uint64_t attempt, FakeTask& t) const {
+    int told = 0;
+    double first = 1e18;
+    for (const auto& [name, m] : machines) {
+        for (const auto& [id, attempts] : m.tasks) {
+            auto a = attempts.find(attempt);
+            if (id.uid == uid && a != attempts.end()) {
+                told += a->second.told_at < 1e17 ? 1 : 0;
+                first = std::min(first, a->second.told_at);
+            }
+        }
+    }
+    const JobSpec& s = specs_.at(uid);
+    if (now >= first + settings.gang_peer_s && told < s.tasks) {
+        t.state = TaskState::exited;
+        t.why = ExitReason::peers_gone;
+    } else if (now >= t.told_at + s.save_s && told == s.tasks) {
+        t.state = TaskState::exited;
+        t.why = ExitReason::stopped;
+        t.saved = true;
+    }
+}
+
 void World::step_worker(FakeMachine& m) {
     if (m.deleted || m.hangs || now < m.up_at) {
         return;
@@ -695,6 +727,12 @@
                     t.why = ExitReason::incomplete;
                 }
             }
+            if (t.state == TaskState::saving) {
+                save_gang(id.uid, attempt, t);
+                if (t.saved) {
+                    saved.insert(id.uid);
+                }
+            }
             if (t.state == TaskState::running && now >= t.ends_at) {
                 t.state = TaskState::exited;
                 t.why = ExitReason::done;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -24,7 +24,7 @@
     bool saved = false;
     double ready_at = 0;  // image there
     double ends_at = 1e18;
-    double exits_at = 1e18;  // saving until then
+    double told_at = 1e18;  // to stop and save
 };
 
 struct FakeMachine {
@@ -105,7 +105,8 @@
     double late_txn = 0;      // probability that a transaction is executed late
     double slow = 0;          // probability that a message takes long
     int capacity = 1000;
-    double list_lag_s = 0;  // until the cloud lists a new machine
+    double list_lag_s = 0;       // until the cloud lists a new machine
+    double rental_answer_s = 0;  // until the cloud's answer to a rental goes out
     // What the state service takes: as the settings have it, until the story lowers it.
     std::optional<double> value_kb;
     std::optional<int> txn_ops;
@@ -116,6 +117,7 @@
     int rentals = 0;
     int machines_rented = 0;
     int transactions = 0;
+    std::set<std::string> saved;        // gangs that saved when they were stopped
     std::map<std::string, int> writes;  // puts and deletes by kind of record, as in "c/b"
     std::vector<Txn> refused_txns;
     std::vector<std::string> log;
@@ -168,6 +170,7 @@
     // workers
     void step_worker(FakeMachine& m);
     void complete_gang(const std::string& uid, std::uint64_t attempt);
+    void save_gang(const std::string& uid, std::uint64_t attempt, FakeTask& t) const;
     void send_report(FakeMachine& m);
     void got_reply(const std::string& machine, std::uint64_t session, double sent,
                    std::size_t target, const WorkerReply& reply);
