The owner of a machine fences it for a cancelled task, not the leading member

Change: each owner releases its own machines, and knows what has ended there; one that has just taken a machine over waits for its first report, as long as the time allows. Result: story EndsThatOnlyWaitToBeWrittenFenceNoMachine, seen to fail without it.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -200,6 +200,9 @@
 inline constexpr double spot_save_margin_s = 3.0;
 // fraction of cancel_s after which a machine that still has a cancelled task is released
 inline constexpr double cancel_fence_share = 0.4;
+// the same if its owner has just taken it over and may still hear that the task has ended: late
+// enough for the longest time between reports, and early enough for a release that is repeated
+inline constexpr double cancel_fence_last_share = 0.6;
 // share of an owner's machines that may be silent at once before it suspects itself
 inline constexpr double silent_share = 0.5;
 // machines silent at once that never raise that suspicion
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -46,28 +46,6 @@
     quota_.tick();
     provisioner_.tick();
     requests_.tick();
-    fence_cancelled();
-}
-
-void Controller::fence_cancelled() {
-    if (!members_.leading()) {
-        return;
-    }
-    // A cancelled task that is still somewhere well after its user was told: its machine can't
-    // be reached, and must be released before the time is up.
-    double limit = ctx_.settings.cancel_s * constants::cancel_fence_share;
-    for (const auto& uid : ctx_.jobs.cancelled()) {
-        const Job& job = ctx_.jobs.jobs().at(uid);
-        if (ctx_.now.wall - job.cancelled_wall < limit) {
-            continue;
-        }
-        job.each_placement([&](int, const Placement& p) {
-            if (Machine* m = fleet_.find(p.machine)) {
-                fleet_.mark(*m, "cancelled task still there", true);
-            }
-            return true;
-        });
-    }
 }
 
 void Controller::submit(Now now, std::uint64_t request, const JobSpec& spec) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -52,8 +52,6 @@
     Fleet& fleet() { return fleet_; }
 
   private:
-    void fence_cancelled();
-
     Context ctx_;
     Membership members_;
     Quota quota_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -901,6 +901,7 @@
         next_sweep_ = ctx_.now.steady + constants::sweep_every_s;
         sweep();
     }
+    fence_cancelled();
     outcomes_.flush();
     settle_answers();
 }
@@ -928,6 +929,34 @@
     }
 }
 
+// A cancelled task that is still somewhere well after its user was told: its machine can't be
+// reached, and must be released before the time is up. Its owner does it, who knows what has ended.
+// Guards against machines released, with all else that ran on them, for ends that only wait to be
+// written: their work then came back and made the wait longer.
+void Fleet::fence_cancelled() {
+    double limit = ctx_.settings.cancel_s * constants::cancel_fence_share;
+    double last = ctx_.settings.cancel_s * constants::cancel_fence_last_share;
+    for (const auto& uid : ctx_.jobs.cancelled()) {
+        const Job& job = ctx_.jobs.jobs().at(uid);
+        double since = ctx_.now.wall - job.cancelled_wall;
+        if (since < limit) {
+            continue;
+        }
+        job.each_placement([&](int task, const Placement& p) {
+            Machine* m = find(p.machine);
+            const Outcomes::Outcome* end = outcomes_.find(job, task);
+            bool ended = end != nullptr && end->attempt == p.attempt;
+            // Just taken over: what ended there before is known with its first report.
+            bool new_here = m != nullptr && !m->adopted && since < last &&
+                            ctx_.now.steady - m->owned_since < silence_s();
+            if (m != nullptr && m->mine && !ended && !new_here) {
+                mark(*m, "cancelled task still there", true);
+            }
+            return true;
+        });
+    }
+}
+
 void Fleet::forget_old() {
     std::erase_if(placed_at_,
                   [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -181,6 +181,7 @@
     bool over(Machine& m) const;
     void repeat_stops(Machine& m);
     void save_in_time(Machine& m);
+    void fence_cancelled();
     double patience_s(const Machine& m, const Silence& silence) const;
     void look_after(Machine& m, const Silence& silence);
     bool cut_from_workers(int mine) const;
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -963,6 +963,32 @@
     EXPECT_EQ(w.running("req-000001"), 0);
 }
 
+TEST_F(Three, EndsThatOnlyWaitToBeWrittenFenceNoMachine) {
+    // Found in a shortage of writes: machines were released for cancelled tasks that had ended
+    // there, and the work that went with them made the shortage last.
+    begin(3);
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, w.job(1, JobKind::service, 4));
+    w.submit_and_wait(0, w.job(2, JobKind::service, 4));
+    auto running = [&](int n, int of) { return w.running("req-00000" + std::to_string(n)) == of; };
+    ASSERT_TRUE(w.until([&] { return running(1, 4) && running(2, 4); }, 30));
+    EXPECT_EQ(w.answer(w.cancel(0, "req-000002")).state, "cancelled");
+    w.refuse_txn = [](const Txn& txn) {
+        return std::any_of(txn.writes.begin(), txn.writes.end(),
+                           [](const Write& x) { return x.key == "c/b/req-000002/0"; });
+    };
+    w.run(20);
+    EXPECT_TRUE(running(1, 4) && running(2, 0));
+    // Nor by an owner that has just taken it over.
+    w.kill(0);
+    w.run(30);
+    EXPECT_TRUE(running(1, 4));
+    EXPECT_FALSE(w.machines.at("vm-500000").deleted);
+    w.refuse_txn = nullptr;
+    EXPECT_TRUE(w.until([&] { return w.finished("req-000002"); }, 10));
+}
+
 TEST_F(Story, WhatCanSaveOnASpotMachineDoesSoBeforeItGoes) {
     begin();
     w.capacity = 0;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -204,6 +204,10 @@
 
 StateReply World::execute(const StateCall& call) {
     StateReply r;
+    if (call.kind == StateCall::Kind::txn && refuse_txn && refuse_txn(call.txn)) {
+        r.status = StateReply::Status::refused;
+        return r;
+    }
     r.status = StateReply::Status::ok;
     switch (call.kind) {
         case StateCall::Kind::grant:
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -104,6 +104,7 @@
     double lost_answers = 0;  // probability that an answer of the state service is lost
     double late_txn = 0;      // probability that a transaction is executed late
     double slow = 0;          // probability that a message takes long
+    std::function<bool(const Txn&)> refuse_txn;  // answered as if it were over the limit
     int capacity = 1000;
     double list_lag_s = 0;       // until the cloud lists a new machine
     double rental_answer_s = 0;  // until the cloud's answer to a rental goes out
