Relayed workers go home again; a few relays make no owner patient

Workers that came back while their owner changed were relayed, and then for good, and one relayed report in 12 s doubled the owner's patience with all of its machines. Change: a worker is relayed only if it was sent to that very owner, and is sent home again after 30 s; an owner takes the way to its workers for cut when a fifth of them come relayed, or no report comes at all.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -182,6 +182,11 @@
 // blocks whose ends are on their way to the records at the most: about what the write limit lets
 // through in the time of an answer when it is short
 inline constexpr std::size_t ends_open = 6;
+// s a worker is relayed before it is sent to its owner once more: if it still can't reach it, that
+// costs it a timeout of 4 s and a pause of 1 s of its lease
+inline constexpr double relay_again_s = 30.0;
+// share of an owner's machines whose reports come relayed that speaks for a cut between them
+inline constexpr double relayed_share = 0.2;
 // s after which a worker cut off from its controller has found a way round: two timeouts of
 // 4 s, a pause of 1 s after each, and the relay itself
 inline constexpr double relay_detour_s = 12.5;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -159,12 +159,18 @@
         refuse(request, 421);
         return;
     }
-    double& last = redirected_.try_emplace(r.machine, -1e9).first->second;
+    Sent& sent = sent_home_[r.machine];
+    double t = ctx_.now.steady;
     // Relayed once, it stays here and comes again with its next report.
     double window = constants::relay_window_s + ctx_.settings.report_s * constants::report_spread;
-    bool again = ctx_.now.steady - last < window;
-    last = ctx_.now.steady;
+    // Guards against workers that came back because their owner changed meanwhile, or could not be
+    // reached for a moment, and were relayed for good: now and then they are sent home once more.
+    bool again = sent.home == owner->id && t - sent.last < window &&
+                 t - sent.first < constants::relay_again_s;
+    sent.last = t;
     if (!again) {
+        sent.home = owner->id;
+        sent.first = t;
         refuse(request, 421, owner->name);
         return;
     }
@@ -200,7 +206,7 @@
         redirect(request, r, owner, relayed);
         return;
     }
-    (relayed ? last_relayed_ : last_direct_) = ctx_.now.steady;
+    last_direct_ = relayed ? last_direct_ : ctx_.now.steady;
     Machine& m = machines_[r.machine];
     if (m.reported && std::tie(r.session, r.seq) <= std::tie(m.session, m.seq)) {
         // A delayed report: its list of tasks is as old as itself.
@@ -223,6 +229,7 @@
     }
     take_in(m, r);
     m.last_report = ctx_.now.steady;
+    m.relayed = relayed;
     m.probe_failures = 0;
     m.request = request;
     m.considered = false;
@@ -251,12 +258,12 @@
 // Whether the way between this process and its machines is more likely to be cut than they are to
 // be gone: their reports come by way of others, or none has come for much longer than there should
 // be between any two.
-bool Fleet::cut_from_workers(int mine) const {
+bool Fleet::cut_from_workers(int mine, int relayed) const {
     double t = ctx_.now.steady;
     double apart = ctx_.settings.report_s * constants::report_spread / std::max(1, mine);
     double gap = std::max(constants::report_gap_s, apart * constants::report_gap_factor);
     return mine > constants::silent_few &&
-           (t - last_relayed_ < constants::relay_detour_s || t - last_direct_ > gap);
+           (relayed > mine * constants::relayed_share || t - last_direct_ > gap);
 }
 
 void Fleet::take_in(Machine& m, const Report& r) {
@@ -960,6 +967,9 @@
 void Fleet::forget_old() {
     std::erase_if(placed_at_,
                   [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
+    std::erase_if(sent_home_, [&](const auto& s) {
+        return ctx_.now.steady - s.second.last > constants::gone_mark_s;
+    });
     for (auto* times : {&whole_, &cheap_}) {
         double old = ctx_.now.wall - constants::arrivals_s;
         std::erase_if(*times, [&](const auto& e) { return e.second.first < old; });
@@ -975,6 +985,7 @@
 // releasing hundreds of healthy machines would cost more than waiting for them.
 Fleet::Silence Fleet::count_silent() {
     Silence silence;
+    int relayed = 0;
     std::map<std::string, Silence::Count> zones;
     for (const auto& [name, m] : machines_) {
         bool known = m.reported || m.running_since >= 0;
@@ -988,9 +999,11 @@
         if (m.reported && m.adopted) {
             silence.all.mine++;
             silence.all.silent += quiet ? 1 : 0;
+            relayed +=
+                m.relayed && ctx_.now.steady - m.last_report < constants::relay_detour_s ? 1 : 0;
         }
     }
-    silence.path_cut = cut_from_workers(silence.all.mine);
+    silence.path_cut = cut_from_workers(silence.all.mine, relayed);
     cut_zones_.clear();
     for (const auto& [zone, count] : zones) {
         if (zone != ctx_.settings.zone && count.suspect()) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -33,6 +33,7 @@
     std::uint64_t seq = 0;
     Token token = 0;
     double last_report = -1e9;
+    bool relayed = false;  // that one came by way of another controller
     std::optional<double> notice_until;
     std::map<Attempt, TaskStatus> tasks;
 
@@ -184,7 +185,7 @@
     void fence_cancelled();
     double patience_s(const Machine& m, const Silence& silence) const;
     void look_after(Machine& m, const Silence& silence);
-    bool cut_from_workers(int mine) const;
+    bool cut_from_workers(int mine, int relayed) const;
     void raise_tokens();
     void write_marks();
 
@@ -206,8 +207,13 @@
     std::set<std::string> cut_zones_;
     double next_sweep_ = 0;
     double last_direct_ = -1e9;  // report of a machine of ours, from itself
-    double last_relayed_ = -1e9;
-    std::map<std::string, double> redirected_;
+    // When a worker was last sent to its owner, and when first to this one.
+    struct Sent {
+        std::uint64_t home = 0;
+        double last = -1e9;
+        double first = -1e9;
+    };
+    std::map<std::string, Sent> sent_home_;  // by machine
 };
 
 }  // namespace cranemoor::core
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -396,6 +396,42 @@
     }
 }
 
+TEST_F(Three, AWorkerThatWasRelayedGoesHomeOnceItCan) {
+    // Found in a restart of a controller among hundreds of machines that stop: workers relayed once
+    // were relayed for good.
+    begin(3);
+    w.capacity = 0;
+    w.add_machine("vm-500000", "a");
+    w.submit_and_wait(0, w.job(1, JobKind::service));
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 1; }, 30));
+    w.workers_cut.insert(0);
+    auto relayed = [&] { return w.node(0).fleet().find("vm-500000")->relayed; };
+    ASSERT_TRUE(w.until(relayed, 20));
+    w.workers_cut.clear();
+    EXPECT_TRUE(w.until([&] { return !relayed(); }, 45));
+    EXPECT_EQ(w.machines.at("vm-500000").session, 1U);
+}
+
+TEST_F(Three, AFewRelayedReportsMakeNoOwnerPatientWithOthers) {
+    // The same day: one relayed report in 12 s, and none of its owner's machines was fenced in
+    // time.
+    begin(3);
+    w.capacity = 0;
+    for (int i = 0; i < 12; ++i) {
+        w.add_machine(fmt::format("vm-5000{:02}", i), "a");
+    }
+    auto large = w.job(1, JobKind::service, 12);
+    large.each = {40, 5, 300};
+    w.submit_and_wait(0, large);
+    ASSERT_TRUE(w.until([&] { return w.running("req-000001") == 12; }, 60));
+    Token token = w.node(0).context().token;
+    w.machines.at("vm-500003").hangs = true;
+    w.run(1);
+    EXPECT_EQ(w.report(1, bare_report("vm-100000", "a", token, 1)).status, 421);
+    EXPECT_EQ(w.report(1, bare_report("vm-100000", "a", token, 2)).status, 200);
+    EXPECT_TRUE(w.until([&] { return w.machines.at("vm-500003").deleted; }, 10));
+}
+
 TEST_F(Story, ANodeThatIsNoMemberAnswersWorkersWith503) {
     w.state_down = true;
     w.start_all();
