--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -129,9 +129,9 @@
 inline constexpr double preempt_after_s = 0.4;
 // s between two times that room is made for the same job; the freed room is held that long
 inline constexpr double preempt_pause_s = 5.0;
-// s a job waits before it may have a gang of several tasks stopped and saved: about a boot, so that
-// a machine rented for it would have come
-inline constexpr double gang_victim_s = 30.0;
+// s a job waits before it may have a gang of several tasks stopped and saved: about two boots, so
+// that while a fleet fills nobody's gang makes room for a replica whose machine is on its way
+inline constexpr double gang_victim_s = 60.0;
 // s a gang waits before it may stop lower work for a whole machine: about a boot
 inline constexpr double gang_preempt_s = 30.0;
 
