clang-tidy clean: a list taken by reference, a reserve in a story

Cause: clang-tidy found a parameter copied for each call and a push_back without a reserve in what was added. Change: Provisioner::tell takes its words by reference; the story reserves. Behaviour as it was.

--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -69,7 +69,7 @@
     fleet_.listed(list);
 }
 
-void Provisioner::tell(std::vector<RentalWord> words) const {
+void Provisioner::tell(const std::vector<RentalWord>& words) const {
     if (words.empty()) {
         return;
     }
@@ -646,7 +646,7 @@
             words.push_back({r.request, type, zone, spot, r.count, true, {}});
         }
     }
-    tell(std::move(words));
+    tell(words);
 }
 
 void Provisioner::send(Rental& rental) {
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -82,7 +82,7 @@
     void plan_headroom(Plan& plan) const;
     void plan_cheap_headroom(Plan& plan) const;
     void order(const Plan& plan);
-    void tell(std::vector<RentalWord> words) const;
+    void tell(const std::vector<RentalWord>& words) const;
     void take_over();
     double list_late_s() const;
     void forget_words();
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -86,6 +86,7 @@
     const std::string uid = "req-000000000000000000000000000009";
     w.state_refused = {0};
     std::vector<std::uint64_t> polls;
+    polls.reserve(3);
     for (int i = 0; i < 3; ++i) {
         polls.push_back(w.poll(0, uid));
     }
