Open jobs are kept in order instead of being sorted at every look

Change: core/flows keeps the open jobs by team and priority, in the order in which they were walked before; numbers instead of texts for what jobs demand; only jobs that changed are looked at when records change; rentals look once for each demand that finds nothing.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -7,9 +7,10 @@
       members_(ctx_),
       quota_(ctx_),
       fleet_(ctx_, members_, quota_),
-      scheduler_(ctx_, members_, fleet_, quota_),
-      preemption_(ctx_, members_, fleet_, scheduler_, quota_),
-      provisioner_(ctx_, members_, fleet_, scheduler_, quota_),
+      flows_(ctx_, fleet_),
+      scheduler_(ctx_, members_, fleet_, quota_, flows_),
+      preemption_(ctx_, members_, fleet_, scheduler_, quota_, flows_),
+      provisioner_(ctx_, members_, fleet_, scheduler_, quota_, flows_),
       finals_(ctx_, members_),
       dependencies_(ctx_, members_),
       requests_(ctx_, members_, fleet_, quota_, dependencies_),
@@ -22,8 +23,13 @@
         }
         auto touched = ctx_.jobs.take_touched_jobs();
         dependencies_.records_changed(touched);
-        scheduler_.records_changed();
-        preemption_.records_changed();
+        touched.merge(ctx_.jobs.take_touched_jobs());  // whose priority that changed
+        flows_.records_changed(touched);
+        if (epoch_changed) {
+            flows_.epoch_changed();
+        }
+        scheduler_.records_changed(touched);
+        preemption_.records_changed(touched);
         fleet_.records_changed(touched);
     };
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -10,6 +10,7 @@
 #include "core/dependencies.hpp"
 #include "core/finals.hpp"
 #include "core/fleet.hpp"
+#include "core/flows.hpp"
 #include "core/membership.hpp"
 #include "core/preemption.hpp"
 #include "core/provisioner.hpp"
@@ -56,6 +57,7 @@
     Membership members_;
     Quota quota_;
     Fleet fleet_;
+    Flows flows_;
     Scheduler scheduler_;
     Preemption preemption_;
     Provisioner provisioner_;
--- /dev/null
+++ b/src/core/flows.cpp
@@ -0,0 +1,203 @@
+#include "core/flows.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranemoor::core {
+
+namespace {
+double part(double amount, double of) {
+    return of > 0 ? amount / of : 0;
+}
+}  // namespace
+
+bool Flows::Earlier::operator()(const Waiting* a, const Waiting* b) const {
+    // Of equals each member first takes those that are its own to place: members that claim
+    // from the same job at once fail each other.
+    bool a_home = a->turn == 0;
+    bool b_home = b->turn == 0;
+    if (a_home != b_home) {
+        return a_home;
+    }
+    // Of those that came together, jobs with one image follow each other, so that they fill
+    // the same machines: images fetched side by side share the rate, and all are late.
+    double a_came = std::floor(a->came_wall / constants::together_s);
+    double b_came = std::floor(b->came_wall / constants::together_s);
+    return std::tie(a_came, a->image, a->came_wall, a->uid) <
+           std::tie(b_came, b->image, b->came_wall, b->uid);
+}
+
+void Flows::epoch_changed() {
+    if (!current()) {
+        return;
+    }
+    for (auto& [key, lane] : lanes_) {
+        lane.clear();
+    }
+    for (auto& [uid, w] : waiting_) {
+        w->turn = turn(*w->job);
+        lanes_[{w->team, w->priority}].insert(w.get());
+    }
+}
+
+void Flows::records_changed(const std::set<std::string>& touched) {
+    if (!current()) {
+        if (ctx_.jobs.loaded()) {
+            read_again();
+        }
+        return;
+    }
+    for (const auto& uid : touched) {
+        const Job* job = ctx_.jobs.find(uid);
+        bool open = job != nullptr && ctx_.jobs.open().count(job) != 0;
+        auto old = waiting_.find(uid);
+        if (!open) {
+            remove(uid);
+        } else if (old == waiting_.end()) {
+            add(*job, ctx_.now.steady);
+        } else if (old->second->priority != job->spec.priority || old->second->job != job) {
+            double since = old->second->open_since;
+            remove(uid);
+            add(*job, since);
+        }
+    }
+}
+
+// All records were read anew: what is known here names jobs of the copy before.
+void Flows::read_again() {
+    loads_ = ctx_.jobs.loads();
+    auto before = std::exchange(waiting_, {});
+    lanes_.clear();
+    for (const Job* job : ctx_.jobs.open()) {
+        auto old = before.find(job->spec.uid);
+        add(*job, old == before.end() ? ctx_.now.steady : old->second->open_since);
+    }
+}
+
+void Flows::remove(const std::string& uid) {
+    auto it = waiting_.find(uid);
+    if (it != waiting_.end()) {
+        lanes_[{it->second->team, it->second->priority}].erase(it->second.get());
+        waiting_.erase(it);
+    }
+}
+
+void Flows::add(const Job& job, double since) {
+    auto w = std::make_unique<Waiting>();
+    w->job = &job;
+    w->uid = job.spec.uid;
+    w->team = job.spec.team;
+    w->priority = job.spec.priority;
+    w->image = job.spec.image;
+    w->came_wall = job.came_wall();
+    w->open_since = since;
+    w->turn = turn(job);
+    w->demands = demands(job.spec);
+    lanes_[{w->team, w->priority}].insert(w.get());
+    waiting_[w->uid] = std::move(w);
+}
+
+// What decides whether a task fits a machine, apart from zone rules that depend on its job's
+// other tasks, as a number: names would be compared over and over.
+int Flows::demands(const JobSpec& s) {
+    auto text = fmt::format("{}|{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb,
+                            s.spot, s.priority == Priority::best_effort, s.zone ? *s.zone : "",
+                            s.types ? fmt::format("{}", fmt::join(*s.types, ",")) : "");
+    return demands_.try_emplace(std::move(text), static_cast<int>(demands_.size())).first->second;
+}
+
+const Flows::Waiting* Flows::find(const std::string& uid) const {
+    auto it = waiting_.find(uid);
+    return it == waiting_.end() || !current() ? nullptr : it->second.get();
+}
+
+double Flows::waited_s(const std::string& uid) const {
+    const Waiting* w = find(uid);
+    return w == nullptr ? 0 : ctx_.now.steady - w->open_since;
+}
+
+bool Flows::paused(const Waiting& w) const {
+    return w.job->fails > 0 && ctx_.now.steady < fleet_.job_pause_until(w.uid);
+}
+
+double Flows::dominant(const Resources& amount) const {
+    if (fleet_.types().empty()) {
+        return std::max(amount.gpus, amount.cpus);
+    }
+    const Resources& size = fleet_.types().front().size;
+    return std::max(part(amount.gpus, size.gpus), part(amount.cpus, size.cpus));
+}
+
+// A zone is drawn first, so that each zone's machines get their share whatever the number of
+// members in it.
+std::size_t Flows::turn(const Job& job) const {
+    const auto& epoch = ctx_.jobs.epoch();
+    if (!epoch) {
+        return 0;
+    }
+    auto draw = [&](const Member& m) {
+        bool wanted = job.spec.zone && *job.spec.zone == m.zone;
+        return std::make_tuple(wanted, stable_hash(job.spec.uid + "|" + m.zone),
+                               stable_hash(job.spec.uid + "|" + m.name));
+    };
+    auto mine = draw(ctx_.me);
+    return static_cast<std::size_t>(std::count_if(epoch->members.begin(), epoch->members.end(),
+                                                  [&](const Member& m) { return draw(m) > mine; }));
+}
+
+// Teams below their guarantee first, the furthest first, others by share over weight; idle work
+// beyond a guarantee after everybody else's. In a team by priority.
+std::vector<const Flows::Lane*> Flows::lanes(bool rush) const {
+    struct Rank {
+        bool leftover = false;
+        bool above = true;
+        bool later = false;  // than what must stay up
+        double need = 0;     // the least goes first
+        std::string team;
+        Priority priority = Priority::normal;
+        const Lane* lane = nullptr;
+    };
+    std::map<std::string, std::pair<bool, double>> teams;  // above its guarantee, need
+    for (const auto& t : ctx_.settings.teams) {
+        const Resources& used = ctx_.jobs.used(t.name);
+        double deficit =
+            std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
+                     t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
+        bool below = deficit > Resources::slack;
+        // The settings carry no weights: a team weighs what it is guaranteed, else 1. Amounts are
+        // compared by the resource of which they take most: a team may use CPUs alone.
+        double weight = dominant(t.guarantee);
+        teams[t.name] = {!below, below ? -deficit : dominant(used) / (weight > 0 ? weight : 1.0)};
+    }
+    std::vector<Rank> ranks;
+    if (!current()) {
+        return {};
+    }
+    for (const auto& [key, lane] : lanes_) {
+        if (lane.empty()) {
+            continue;
+        }
+        Rank r;
+        r.team = key.first;
+        r.priority = key.second;
+        r.lane = &lane;
+        if (auto t = teams.find(r.team); t != teams.end()) {
+            std::tie(r.above, r.need) = t->second;
+        }
+        r.leftover = r.priority == Priority::best_effort && r.above;
+        r.later = rush && !r.above && r.priority != Priority::production;
+        ranks.push_back(std::move(r));
+    }
+    std::sort(ranks.begin(), ranks.end(), [](const Rank& a, const Rank& b) {
+        return std::tie(a.leftover, a.above, a.later, a.need, a.team, b.priority) <
+               std::tie(b.leftover, b.above, b.later, b.need, b.team, a.priority);
+    });
+    std::vector<const Lane*> list;
+    list.reserve(ranks.size());
+    for (const auto& r : ranks) {
+        list.push_back(r.lane);
+    }
+    return list;
+}
+
+}  // namespace cranemoor::core
--- /dev/null
+++ b/src/core/flows.hpp
@@ -0,0 +1,86 @@
+// Flows: the jobs that have tasks to place, in the order in which they are looked at. Kept up to date
+// by the change stream, so that a look costs what it visits and not what waits.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/context.hpp"
+#include "core/fleet.hpp"
+
+namespace cranemoor::core {
+
+class Flows {
+  public:
+    // An open job, with what every look at it needs.
+    struct Waiting {
+        const Job* job = nullptr;
+        std::string uid;
+        std::string team;
+        Priority priority = Priority::normal;
+        std::string image;
+        double came_wall = 0;
+        double open_since = 0;  // steady s, as far as this process has seen
+        std::size_t turn = 0;   // this member's place in the order in which members look at it
+        int demands = 0;        // equal for jobs that fit the same machines
+    };
+
+    Flows(Context& ctx, const Fleet& fleet) : ctx_(ctx), fleet_(fleet) {}
+
+    void epoch_changed();
+    // touched: jobs that changed
+    void records_changed(const std::set<std::string>& touched);
+
+    // nullptr: the job has no tasks to place
+    const Waiting* find(const std::string& uid) const;
+    // How long the job has had tasks to place, as far as this process has seen, in s.
+    double waited_s(const std::string& uid) const;
+    // This member's place in the order in which members look at a job.
+    std::size_t turn(const Job& job) const;
+    // Visits the jobs in the order in which they are walked, until the visitor returns false. In a
+    // rush claims wait for the write limit, and the order decides about many seconds: within their
+    // guarantees, what must stay up then goes before what must be complete.
+    template <typename Visit>
+    void each(bool rush, Visit visit) const {
+        for (const Lane* lane : lanes(rush)) {
+            for (const Waiting* w : *lane) {
+                if (!paused(*w) && !visit(*w)) {
+                    return;
+                }
+            }
+        }
+    }
+    // The part of a machine that an amount takes, by the resource of which it takes most.
+    double dominant(const Resources& amount) const;
+
+  private:
+    struct Earlier {
+        bool operator()(const Waiting* a, const Waiting* b) const;
+    };
+    using Lane = std::set<const Waiting*, Earlier>;
+    // Of a team and a priority.
+    using Key = std::pair<std::string, Priority>;
+
+    std::vector<const Lane*> lanes(bool rush) const;
+    bool paused(const Waiting& w) const;
+    // Whether this is of the copy of the records as it was last read whole.
+    bool current() const { return loads_ == ctx_.jobs.loads(); }
+    void read_again();
+    void remove(const std::string& uid);
+    void add(const Job& job, double since);
+    int demands(const JobSpec& spec);
+
+    Context& ctx_;
+    const Fleet& fleet_;
+    std::unordered_map<std::string, std::unique_ptr<Waiting>> waiting_;  // by uid
+    std::map<Key, Lane> lanes_;
+    std::uint64_t loads_ = 0;
+    std::unordered_map<std::string, int> demands_;  // numbers, by what is demanded
+};
+
+}  // namespace cranemoor::core
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -84,7 +84,9 @@
 }
 
 void Jobs::begin_load() {
+    std::uint64_t loads = loads_;
     *this = Jobs();
+    loads_ = loads + 1;
 }
 
 void Jobs::load(const std::vector<Event>& items) {
@@ -304,6 +306,7 @@
 void Jobs::lend_priority(const std::string& uid, Priority priority) {
     if (auto it = jobs_.find(uid); it != jobs_.end()) {
         it->second.spec.priority = std::max(it->second.own_priority, priority);
+        touched_jobs_.insert(uid);
     }
 }
 
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -100,6 +100,9 @@
     void advance(Revision revision) { revision_ = std::max(revision_, revision); }
 
     bool loaded() const { return loaded_; }
+    // How often everything was read anew: what is kept of an earlier copy names jobs that are no
+    // more.
+    std::uint64_t loads() const { return loads_; }
     Revision revision() const { return revision_; }
     Revision revision_of(const std::string& key) const;
 
@@ -184,6 +187,7 @@
     void index(const Job& job, const Block& block, int sign);
 
     bool loaded_ = false;
+    std::uint64_t loads_ = 0;
     Revision revision_ = 0;
     std::unordered_map<std::string, Revision> revisions_;
     std::optional<Epoch> epoch_;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -4,11 +4,13 @@
 
 namespace cranemoor::core {
 
-void Preemption::records_changed() {
-    std::erase_if(preempted_at_, [&](const auto& p) {
-        const Job* job = ctx_.jobs.find(p.first);
-        return job == nullptr || job->open() == 0;
-    });
+void Preemption::records_changed(const std::set<std::string>& touched) {
+    for (const auto& uid : touched) {
+        const Job* job = ctx_.jobs.find(uid);
+        if (job == nullptr || job->open() == 0) {
+            preempted_at_.erase(uid);
+        }
+    }
 }
 
 void Preemption::tick() {
@@ -99,78 +101,89 @@
 
 void Preemption::look() {
     int looked = 0;
-    for (const Job* job : scheduler_.order()) {
-        const JobSpec& s = job->spec;
-        double stagger = constants::preempt_pause_s * static_cast<double>(scheduler_.turn(*job));
-        double waited = scheduler_.open_for_s(s.uid);
-        if (waited < stagger) {
-            continue;  // its first member makes room, the others only if it has none to make
+    flows_.each(scheduler_.rush(), [&](const Flows::Waiting& waiting) {
+        if (may_look(waiting)) {
+            ++looked;
+            make_room(waiting);
         }
-        if (s.priority <= Priority::normal && !below_guarantee(s.team, s.each)) {
+        return looked < constants::preempt_looks;
+    });
+}
+
+bool Preemption::may_look(const Flows::Waiting& waiting) const {
+    const Job& job = *waiting.job;
+    const JobSpec& s = job.spec;
+    double stagger = constants::preempt_pause_s * static_cast<double>(waiting.turn);
+    double waited = ctx_.now.steady - waiting.open_since;
+    if (waited < stagger || waited < constants::preempt_after_s) {
+        return false;  // its first member makes room, the others only if it has none to make
+    }
+    if ((s.tasks > 1 && s.kind == JobKind::gang) || job.doubtful()) {
+        return false;
+    }
+    if (s.priority <= Priority::normal && !below_guarantee(s.team, s.each)) {
+        return false;
+    }
+    auto recent = preempted_at_.find(s.uid);
+    bool pause = recent != preempted_at_.end() &&
+                 ctx_.now.steady - recent->second < constants::preempt_pause_s;
+    return !pause && quota_.within_limit(s.team, s.each);
+}
+
+// Stops what loses least, where it helps the job most.
+void Preemption::make_room(const Flows::Waiting& waiting) {
+    const Job& job = *waiting.job;
+    const JobSpec& s = job.spec;
+    double waited = ctx_.now.steady - waiting.open_since;
+    preempted_at_[s.uid] = ctx_.now.steady;
+    int image = fleet_.image_number(s.image);
+    int block = 0;
+    while (block + 1 < job.block_count() && !job.first_open(block)) {
+        ++block;
+    }
+    // Room that is there already, or a machine that has it without the image.
+    bool room = false;
+    bool local_room = false;
+    std::optional<Victims> best;
+    for (auto& [name, m] : fleet_.machines()) {
+        bool ok = m.up() && !m.notice_until && !m.marking && !m.gone &&
+                  ctx_.jobs.mark(name) == nullptr && scheduler_.allowed(job, m);
+        // Room made for one job serves no second one.
+        ok = ok && !scheduler_.held_for_other(name, s.uid);
+        if (!ok) {
             continue;
         }
-        if ((s.tasks > 1 && s.kind == JobKind::gang) || job->doubtful()) {
+        bool local = Fleet::has_image(m, image);
+        if (Scheduler::spread_room(job, block, m.zone) == 0) {
             continue;
         }
-        auto recent = preempted_at_.find(s.uid);
-        if ((recent != preempted_at_.end() &&
-             ctx_.now.steady - recent->second < constants::preempt_pause_s) ||
-            waited < constants::preempt_after_s || !quota_.within_limit(s.team, s.each)) {
+        if (s.each.fits_in(fleet_.room(m))) {
+            room = true;
+            local_room = local_room || local;
             continue;
         }
-        if (++looked > constants::preempt_looks) {
-            break;
-        }
-        preempted_at_[s.uid] = ctx_.now.steady;
-        int image = fleet_.image_number(s.image);
-        int block = 0;
-        while (block + 1 < job->block_count() && !job->first_open(block)) {
-            ++block;
-        }
-        // Room that is there already, or a machine that has it without the image.
-        bool room = false;
-        bool local_room = false;
-        std::optional<Victims> best;
-        for (auto& [name, m] : fleet_.machines()) {
-            bool ok = m.up() && !m.notice_until && !m.marking && !m.gone &&
-                      ctx_.jobs.mark(name) == nullptr && scheduler_.allowed(*job, m);
-            // Room made for one job serves no second one.
-            ok = ok && !scheduler_.held_for_other(name, s.uid);
-            if (!ok) {
-                continue;
-            }
-            bool local = Fleet::has_image(m, image);
-            if (Scheduler::spread_room(*job, block, m.zone) == 0) {
-                continue;
-            }
-            if (s.each.fits_in(fleet_.room(m))) {
-                room = true;
-                local_room = local_room || local;
-                continue;
-            }
-            if (!m.mine || !fleet_.usable(m)) {
-                continue;
-            }
-            auto v = victims_on(m, *job, waited);
-            if (v && (!best || std::make_tuple(!v->local, v->lost_s) <
-                                   std::make_tuple(!best->local, best->lost_s))) {
-                best = v;
-            }
-        }
-        // Room without the image costs a production job its fetch time: less than that is lost
-        // by stopping a newer, lower task where the image is.
-        bool fetch_hurts =
-            s.priority == Priority::production && best && best->local && s.image_gb > 0;
-        if (!best || local_room || (room && !fetch_hurts)) {
+        if (!m.mine || !fleet_.usable(m)) {
             continue;
         }
-        Machine& m = *best->machine;
-        scheduler_.hold(m.name, s, constants::preempt_pause_s);
-        ctx_.info("preempt {} tasks on {} for {}", best->tasks.size(), m.name, s.uid);
-        for (const auto& id : best->tasks) {
-            stop(m, *job, id);
+        auto v = victims_on(m, job, waited);
+        if (v && (!best || std::make_tuple(!v->local, v->lost_s) <
+                               std::make_tuple(!best->local, best->lost_s))) {
+            best = v;
         }
     }
+    // Room without the image costs a production job its fetch time: less than that is lost
+    // by stopping a newer, lower task where the image is.
+    bool fetch_hurts =
+        s.priority == Priority::production && best && best->local && s.image_gb > 0;
+    if (!best || local_room || (room && !fetch_hurts)) {
+        return;
+    }
+    Machine& m = *best->machine;
+    scheduler_.hold(m.name, s, constants::preempt_pause_s);
+    ctx_.info("preempt {} tasks on {} for {}", best->tasks.size(), m.name, s.uid);
+    for (const auto& id : best->tasks) {
+        stop(m, job, id);
+    }
 }
 
 }  // namespace cranemoor::core
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -3,11 +3,13 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "core/context.hpp"
 #include "core/fleet.hpp"
+#include "core/flows.hpp"
 #include "core/membership.hpp"
 #include "core/quota.hpp"
 #include "core/scheduler.hpp"
@@ -17,10 +19,16 @@
 class Preemption {
   public:
     Preemption(Context& ctx, const Membership& members, Fleet& fleet, Scheduler& scheduler,
-               const Quota& quota)
-        : ctx_(ctx), members_(members), fleet_(fleet), scheduler_(scheduler), quota_(quota) {}
-
-    void records_changed();
+               const Quota& quota, const Flows& flows)
+        : ctx_(ctx),
+          members_(members),
+          fleet_(fleet),
+          scheduler_(scheduler),
+          quota_(quota),
+          flows_(flows) {}
+
+    // touched: jobs that changed
+    void records_changed(const std::set<std::string>& touched);
     void tick();
 
   private:
@@ -32,6 +40,8 @@
     };
 
     void look();
+    bool may_look(const Flows::Waiting& waiting) const;
+    void make_room(const Flows::Waiting& waiting);
     void stop(Machine& m, const Job& job, const TaskId& id);
     bool may_preempt(const Job& job, const Job& victim, double waited) const;
     std::optional<Victims> victims_on(Machine& m, const Job& job, double waited) const;
@@ -42,6 +52,7 @@
     Fleet& fleet_;
     Scheduler& scheduler_;
     const Quota& quota_;
+    const Flows& flows_;
     std::map<std::string, double> preempted_at_;  // by job that room was made for
     double next_look_ = 0;
 };
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -441,13 +441,18 @@
     for (const auto& b : plan.free) {
         plan.load[b.zone]++;
     }
-    auto jobs = scheduler_.order();
-    std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-        return std::tie(a->spec.each.gpus, a->spec.each.cpus) >
-               std::tie(b->spec.each.gpus, b->spec.each.cpus);
+    std::vector<const Flows::Waiting*> jobs;
+    flows_.each(scheduler_.rush(), [&](const Flows::Waiting& waiting) {
+        jobs.push_back(&waiting);
+        return true;
+    });
+    std::stable_sort(jobs.begin(), jobs.end(), [](const auto* a, const auto* b) {
+        const Resources& x = a->job->spec.each;
+        const Resources& y = b->job->spec.each;
+        return std::tie(x.gpus, x.cpus) > std::tie(y.gpus, y.cpus);
     });
-    for (const Job* job : jobs) {
-        plan_job(plan, *job);
+    for (const auto* waiting : jobs) {
+        plan_job(plan, *waiting);
     }
     plan_headroom(plan);
     plan_cheap_headroom(plan);
@@ -460,16 +465,22 @@
 }
 
 // Finds room for each of the job's tasks that is still to be placed, or wants a machine for it.
-void Provisioner::plan_job(Plan& plan, const Job& job) {
+void Provisioner::plan_job(Plan& plan, const Flows::Waiting& waiting) {
+    const Job& job = *waiting.job;
     const JobSpec& s = job.spec;
     const MachineType* type = cheapest(s);
     // Nothing is rented for a job that is likely to fail again, unless it finds no room for
     // long: it must have its tries.
-    bool in_doubt = job.doubtful() && scheduler_.waited_s(s.uid) < constants::job_backoff_max_s;
+    bool in_doubt = job.doubtful() &&
+                    ctx_.now.steady - waiting.open_since < constants::job_backoff_max_s;
     if (type == nullptr || in_doubt) {
         return;
     }
-    Need need = need_of(plan, job, *type);
+    Need need = need_of(plan, waiting, *type);
+    bool free_to_go = !s.spread && !s.together && !s.zone;  // whatever its other tasks do
+    if (free_to_go && plan.hopeless.count(need.kind()) != 0) {
+        return;
+    }
     for (int i = 0; i < job.open(); ++i) {
         Resources sum = plan.planned[s.team] + s.each;
         if (!quota_.within_limit(s.team, sum)) {
@@ -479,6 +490,9 @@
         std::set<std::string> barred;
         std::size_t found = find_room(plan, need, barred);
         if (found == plan.free.size() && !want(plan, need, barred)) {
+            if (free_to_go) {
+                plan.hopeless.insert(need.kind());
+            }
             return;
         }
         Bin& bin = plan.free[found];
@@ -491,7 +505,9 @@
     }
 }
 
-Provisioner::Need Provisioner::need_of(Plan& plan, const Job& job, const MachineType& type) const {
+Provisioner::Need Provisioner::need_of(Plan& plan, const Flows::Waiting& waiting,
+                                       const MachineType& type) const {
+    const Job& job = *waiting.job;
     const JobSpec& s = job.spec;
     Need need;
     need.spec = &s;
@@ -499,17 +515,19 @@
     // Idle work has cheap machines rented for it, ordinary ones only if it may not use others.
     need.idle_work = Scheduler::idle_work(s);
     need.only = s.zone;
-    job.each_placement([&](int, const Placement& p) {
-        need.in_zone[p.zone]++;
-        if (s.together) {
-            need.only = p.zone;
-        }
-        return true;
-    });
+    if (s.spread || s.together) {
+        job.each_placement([&](int, const Placement& p) {
+            need.in_zone[p.zone]++;
+            if (s.together) {
+                need.only = p.zone;
+            }
+            return true;
+        });
+    }
     // A job that may use cheap machines takes an empty ordinary one only if no cheap one can
     // be had.
     need.cheap = s.spot && (need.idle_work || pick_zone(type.name, true, need.only, plan.load));
-    need.demands = Scheduler::demands(s) + (need.cheap ? "|cheap|" : "|");
+    need.demands = waiting.demands;
     if (s.together && !need.only && s.tasks > 1) {
         need.only = roomiest_zone(plan, need);
     }
@@ -541,7 +559,8 @@
     int most = 0;
     for (const auto& zone : need.type->zones) {
         int found = 0;
-        for (std::size_t i = next(plan, need, zone, plan.cursors[need.demands + zone]);
+        for (std::size_t i =
+                 next(plan, need, zone, plan.cursors[{need.demands, need.cheap, zone}]);
              i < plan.free.size() && found < need.spec->tasks; i = next(plan, need, zone, i + 1)) {
             ++found;
         }
@@ -566,7 +585,7 @@
         if (need.only && *need.only != zone) {
             continue;
         }
-        std::size_t& cursor = plan.cursors[need.demands + zone];
+        std::size_t& cursor = plan.cursors[{need.demands, need.cheap, zone}];
         cursor = next(plan, need, zone, cursor);
         found = std::min(found, cursor);
     }
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -10,6 +10,7 @@
 
 #include "core/context.hpp"
 #include "core/fleet.hpp"
+#include "core/flows.hpp"
 #include "core/membership.hpp"
 #include "core/quota.hpp"
 #include "core/scheduler.hpp"
@@ -18,8 +19,14 @@
 
 class Provisioner {
   public:
-    Provisioner(Context& ctx, Membership& members, Fleet& fleet, Scheduler& scheduler, Quota& quota)
-        : ctx_(ctx), members_(members), fleet_(fleet), scheduler_(scheduler), quota_(quota) {}
+    Provisioner(Context& ctx, Membership& members, Fleet& fleet, Scheduler& scheduler, Quota& quota,
+                const Flows& flows)
+        : ctx_(ctx),
+          members_(members),
+          fleet_(fleet),
+          scheduler_(scheduler),
+          quota_(quota),
+          flows_(flows) {}
 
     void tick();
     void epoch_changed();
@@ -49,7 +56,9 @@
         std::map<Kind, int> wanted;
         std::map<std::string, Resources> planned;  // by team
         // Room only shrinks while jobs are gone through: for each demand and zone, where to go on.
-        std::map<std::string, std::size_t> cursors;
+        std::map<std::tuple<int, bool, std::string>, std::size_t> cursors;
+        // Demands for which nothing was found and nothing more can be rented.
+        std::set<std::pair<int, bool>> hopeless;
     };
     // What one job asks of it.
     struct Need {
@@ -59,7 +68,8 @@
         bool cheap = false;                  // a cheap machine can be had for it
         std::optional<std::string> only;     // zone
         std::map<std::string, int> in_zone;  // its tasks
-        std::string demands;                 // equal for jobs that the same bins take
+        int demands = 0;                     // equal for jobs that the same bins take
+        std::pair<int, bool> kind() const { return {demands, cheap}; }
     };
 
     void look_at_types();
@@ -70,8 +80,8 @@
     bool not_said(const std::string& key, const std::string& machine) const;
     void retire_marks();
     void rent();
-    void plan_job(Plan& plan, const Job& job);
-    Need need_of(Plan& plan, const Job& job, const MachineType& type) const;
+    void plan_job(Plan& plan, const Flows::Waiting& waiting);
+    Need need_of(Plan& plan, const Flows::Waiting& waiting, const MachineType& type) const;
     bool takes(const Bin& bin, const Need& need) const;
     std::size_t next(const Plan& plan, const Need& need, const std::string& zone,
                      std::size_t from) const;
@@ -105,6 +115,7 @@
     Fleet& fleet_;
     Scheduler& scheduler_;
     Quota& quota_;
+    const Flows& flows_;
     bool types_open_ = false;
     double next_types_ = 0;
     bool list_open_ = false;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -5,24 +5,6 @@
 
 namespace cranemoor::core {
 
-namespace {
-
-double part(double amount, double of) {
-    return of > 0 ? amount / of : 0;
-}
-
-}  // namespace
-
-// How long the job has had tasks to place, as far as this process has seen.
-double Scheduler::waited_s(const std::string& uid) const {
-    auto it = open_since_.find(uid);
-    return it == open_since_.end() ? 0 : ctx_.now.steady - it->second;
-}
-
-double Scheduler::open_for_s(const std::string& uid) {
-    return ctx_.now.steady - open_since_.try_emplace(uid, ctx_.now.steady).first->second;
-}
-
 bool Scheduler::held_for_other(const std::string& machine, const std::string& uid) const {
     auto held = holds_.find(machine);
     return held != holds_.end() && held->second.uid != uid && held->second.until >= ctx_.now.steady;
@@ -32,101 +14,6 @@
     holds_[machine] = {spec.uid, ctx_.now.steady + seconds, spec.priority};
 }
 
-std::vector<const Job*> Scheduler::order() const {
-    struct Rank {
-        bool below = false;
-        double deficit = 0;
-        double share = 0;
-    };
-    std::map<std::string, Rank> teams;
-    for (const auto& t : ctx_.settings.teams) {
-        const Resources& used = ctx_.jobs.used(t.name);
-        Rank r;
-        r.deficit = std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
-                             t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
-        r.below = r.deficit > Resources::slack;
-        // The settings carry no weights: a team weighs what it is guaranteed, else 1. Amounts are
-        // compared by the resource of which they take most: a team may use CPUs alone.
-        double weight = dominant(t.guarantee);
-        r.share = dominant(used) / (weight > 0 ? weight : 1.0);
-        teams[t.name] = r;
-    }
-    struct Entry {
-        const Job* job;
-        const Rank* team;
-        bool home;
-        bool leftover;  // idle work beyond a guarantee: after everybody else's
-    };
-    static const Rank none;
-    std::vector<Entry> list;
-    list.reserve(ctx_.jobs.open().size());
-    for (const Job* job : ctx_.jobs.open()) {
-        if (ctx_.now.steady >= fleet_.job_pause_until(job->spec.uid)) {
-            auto t = teams.find(job->spec.team);
-            const Rank* team = t == teams.end() ? &none : &t->second;
-            bool leftover = job->spec.priority == Priority::best_effort && !team->below;
-            list.push_back({job, team, turn(*job) == 0, leftover});
-        }
-    }
-    // In a rush claims wait for the write limit, and the order decides about many seconds: within
-    // their guarantees, what must stay up then goes before what must be complete.
-    bool rush = blocks_open_ >= constants::claim_blocks;
-    std::sort(list.begin(), list.end(), [rush](const Entry& x, const Entry& y) {
-        const JobSpec& a = x.job->spec;
-        const JobSpec& b = y.job->spec;
-        if (x.leftover != y.leftover) {
-            return y.leftover;
-        }
-        if (a.team != b.team) {
-            if (x.team->below != y.team->below) {
-                return x.team->below;
-            }
-            bool a_up = a.priority == Priority::production;
-            bool b_up = b.priority == Priority::production;
-            if (rush && x.team->below && a_up != b_up) {
-                return a_up;
-            }
-            if (x.team->below && x.team->deficit != y.team->deficit) {
-                return x.team->deficit > y.team->deficit;
-            }
-            if (!x.team->below && x.team->share != y.team->share) {
-                return x.team->share < y.team->share;
-            }
-            return a.team < b.team;
-        }
-        if (a.priority != b.priority) {
-            return a.priority > b.priority;
-        }
-        // Of equals each member first takes those that are its own to place: members that claim
-        // from the same job at once fail each other.
-        if (x.home != y.home) {
-            return x.home;
-        }
-        // Of those that came together, jobs with one image follow each other, so that they fill
-        // the same machines: images fetched side by side share the rate, and all are late.
-        double a_came = std::floor(x.job->came_wall() / constants::together_s);
-        double b_came = std::floor(y.job->came_wall() / constants::together_s);
-        double a_at = x.job->came_wall();
-        double b_at = y.job->came_wall();
-        return std::tie(a_came, a.image, a_at, a.uid) < std::tie(b_came, b.image, b_at, b.uid);
-    });
-    std::vector<const Job*> jobs;
-    jobs.reserve(list.size());
-    for (const auto& e : list) {
-        jobs.push_back(e.job);
-    }
-    return jobs;
-}
-
-// The part of a machine that an amount takes, by the resource of which it takes most.
-double Scheduler::dominant(const Resources& amount) const {
-    if (fleet_.types().empty()) {
-        return std::max(amount.gpus, amount.cpus);
-    }
-    const Resources& size = fleet_.types().front().size;
-    return std::max(part(amount.gpus, size.gpus), part(amount.cpus, size.cpus));
-}
-
 bool Scheduler::idle_work(const JobSpec& s) {
     return s.priority == Priority::best_effort && s.spot;
 }
@@ -153,23 +40,6 @@
     return s.each.gpus > 0 || t == nullptr ? offer.room : leftover(*t, offer.room);
 }
 
-// This member's place in the order in which members look at a new job. A zone is drawn first, so
-// that each zone's machines get their share whatever the number of members in it.
-std::size_t Scheduler::turn(const Job& job) const {
-    const auto& epoch = ctx_.jobs.epoch();
-    if (!epoch) {
-        return 0;
-    }
-    auto draw = [&](const Member& m) {
-        bool wanted = job.spec.zone && *job.spec.zone == m.zone;
-        return std::make_tuple(wanted, stable_hash(job.spec.uid + "|" + m.zone),
-                               stable_hash(job.spec.uid + "|" + m.name));
-    };
-    auto mine = draw(ctx_.me);
-    return static_cast<std::size_t>(std::count_if(epoch->members.begin(), epoch->members.end(),
-                                                  [&](const Member& m) { return draw(m) > mine; }));
-}
-
 bool Scheduler::allowed(const Job& job, const Machine& m) const {
     const JobSpec& s = job.spec;
     if (s.types && std::find(s.types->begin(), s.types->end(), m.type) == s.types->end()) {
@@ -216,14 +86,6 @@
     return std::max(0, (size + 1) / 2 - there);
 }
 
-// What decides whether a task fits a machine, apart from zone rules that depend on its job's
-// other tasks.
-std::string Scheduler::demands(const JobSpec& s) {
-    return fmt::format("{}|{}|{}|{}|{}|{}|{}", s.each.cpus, s.each.gpus, s.each.memory_gb, s.spot,
-                       s.priority == Priority::best_effort, s.zone ? *s.zone : "",
-                       s.types ? fmt::format("{}", fmt::join(*s.types, ",")) : "");
-}
-
 double Scheduler::rank(const Offer& offer, const Job& job) const {
     // Cheap machines first for jobs that may use them, machines in use next, and empty ordinary
     // ones last: those are kept whole for gangs that need one. Work goes to the fullest machine,
@@ -246,11 +108,13 @@
 }
 
 // Whether a machine in use has room for small work that would otherwise break into an empty one.
-bool Scheduler::better_elsewhere(Round& round, const Offer& offer, const Job& job) const {
+bool Scheduler::better_elsewhere(Round& round, const Offer& offer,
+                                 const Flows::Waiting& waiting) const {
+    const Job& job = *waiting.job;
     if (!offer.empty || offer.machine->spot) {
         return false;
     }
-    auto [it, first] = round.memo.try_emplace("used|" + demands(job.spec), false);
+    auto [it, first] = round.memo.try_emplace({Ask::What::used, waiting.demands, 0, 0}, false);
     if (!first) {
         return it->second;
     }
@@ -266,12 +130,14 @@
 
 // Whether work that may run on cheap machines should leave an empty ordinary one alone: a cheap
 // one is there or on its way.
-bool Scheduler::cheap_coming(Round& round, const Offer& offer, const Job& job) const {
+bool Scheduler::cheap_coming(Round& round, const Offer& offer,
+                             const Flows::Waiting& waiting) const {
+    const Job& job = *waiting.job;
     if (offer.machine->spot || !job.spec.spot || job.spec.checkpoint_s <= 0 ||
         job.spec.priority > Priority::normal || !offer.empty) {
         return false;
     }
-    auto [it, first] = round.memo.try_emplace("cheap|" + demands(job.spec), false);
+    auto [it, first] = round.memo.try_emplace({Ask::What::cheap, waiting.demands, 0, 0}, false);
     if (!first) {
         return it->second;
     }
@@ -322,10 +188,10 @@
 void Scheduler::round() {
     double dt = ctx_.now.steady - last_round_;
     last_round_ = ctx_.now.steady;
-    for (auto& [uid, w] : waits_) {
-        if (w.skipped) {
-            w.wait += dt;
-            w.skipped = false;
+    for (const auto& uid : std::exchange(skipped_, {})) {
+        if (auto w = waits_.find(uid); w != waits_.end()) {
+            w->second.wait += dt;
+            w->second.skipped = false;
         }
     }
     Round round;
@@ -333,37 +199,44 @@
     if (ctx_.jobs.open().empty()) {
         return;
     }
-    for (const Job* job : order()) {
+    flows_.each(rush(), [&](const Flows::Waiting& waiting) {
         if (blocks_open_ >= constants::claim_blocks_open) {
-            break;
+            return false;
         }
-        double since = open_since_.try_emplace(job->spec.uid, ctx_.now.steady).first->second;
-        double stagger = constants::home_stagger_s * static_cast<double>(turn(*job));
-        if (ctx_.now.steady - since >= stagger) {
-            walk(round, *job);
+        double stagger = constants::home_stagger_s * static_cast<double>(waiting.turn);
+        if (ctx_.now.steady - waiting.open_since >= stagger) {
+            walk(round, waiting);
         }
-    }
+        return true;
+    });
     send_batch();
 }
 
-void Scheduler::walk(Round& round, const Job& job) {
+void Scheduler::skip(Wait& wait, const std::string& uid) {
+    if (!wait.skipped) {
+        wait.skipped = true;
+        skipped_.push_back(uid);
+    }
+}
+
+void Scheduler::walk(Round& round, const Flows::Waiting& waiting) {
+    const Job& job = *waiting.job;
     const JobSpec& s = job.spec;
     bool gang = s.kind == JobKind::gang && job.done() == 0;
-    Wait& w = waits_[s.uid];
     // A gang of one that takes a whole machine looks for it as larger ones do, among all members'.
     if (gang && (s.tasks > 1 || fleet_.takes_whole(s))) {
-        if (!claim_gang(round, job, w)) {
-            hold_for(round, job);
+        if (!claim_gang(round, waiting)) {
+            hold_for(round, waiting);
         }
         return;
     }
-    auto key = demands(s);
-    if (round.hopeless.count(key) != 0) {
+    if (round.hopeless.count(waiting.demands) != 0) {
         if (gang) {
-            hold_for(round, job);
+            hold_for(round, waiting);
         }
         return;
     }
+    Wait& w = waits_[s.uid];
     int image = fleet_.image_number(s.image);
     bool fits = false;
     std::vector<Choice> choices;
@@ -379,9 +252,9 @@
         bool local = s.image_gb <= 0 || Fleet::has_image(*offer.machine, image) ||
                      std::count(offer.images.begin(), offer.images.end(), image) != 0;
         bool fetch_waits = !local && slow_fetch(offer, image);
-        bool cheap = cheap_coming(round, offer, job);
-        bool better = !gang && better_elsewhere(round, offer, job);
-        bool pass = cheap || fetch_waits || better || (!local && local_chance(round, job));
+        bool cheap = cheap_coming(round, offer, waiting);
+        bool better = !gang && better_elsewhere(round, offer, waiting);
+        bool pass = cheap || fetch_waits || better || (!local && local_chance(round, waiting));
         double most = longest_pass(*offer.machine, s, fetch_waits);
         if (better) {
             most = std::max(most, ctx_.tunables.locality_wait_s);
@@ -390,13 +263,13 @@
             most = std::max(most, constants::cheap_pass_s);
         }
         if (pass && (w.level == 0 || cheap) && w.wait < most) {
-            w.skipped = true;
+            skip(w, s.uid);
             continue;
         }
         choices.push_back({&offer, local, rank(offer, job)});
     }
     if (!fits) {
-        round.hopeless.insert(key);
+        round.hopeless.insert(waiting.demands);
     }
     std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
         return std::make_tuple(!a.local, a.rank) < std::make_tuple(!b.local, b.rank);
@@ -405,22 +278,23 @@
         w.wait = 0;
         w.level = choices.front().local ? 0 : 1;
     } else if (gang && !fits) {
-        hold_for(round, job);
+        hold_for(round, waiting);
     }
 }
 
 // Whether waiting may find the job machines with its image, for a gang as many as it has tasks:
 // such that have room, or where work is expected to end before W is over. Waiting for others
 // would cost a start its time.
-bool Scheduler::local_chance(Round& round, const Job& job) const {
+bool Scheduler::local_chance(Round& round, const Flows::Waiting& waiting) const {
+    const Job& job = *waiting.job;
     bool gang = job.spec.kind == JobKind::gang && job.done() == 0;
     int needed = gang ? job.spec.tasks : 1;
-    auto [it, first] = round.memo.try_emplace(
-        fmt::format("local|{}|{}|{}", needed, job.spec.image, demands(job.spec)), false);
+    int image = fleet_.image_number(job.spec.image);
+    auto [it, first] =
+        round.memo.try_emplace({Ask::What::local, waiting.demands, image, needed}, false);
     if (!first) {
         return it->second;
     }
-    int image = fleet_.image_number(job.spec.image);
     int found = 0;
     for (const auto& [name, m] : fleet_.machines()) {
         if (!Fleet::has_image(m, image) || fleet_.cut_off(m.zone) ||
@@ -560,15 +434,16 @@
 // Whole or not at all: every block of the job goes into one transaction, so that one controller
 // starts it, also on machines of others, which launch what the records say. Returns whether the
 // job's room is there, or is not what it lacks.
-bool Scheduler::claim_gang(Round& round, const Job& job, Wait& w) {
+bool Scheduler::claim_gang(Round& round, const Flows::Waiting& waiting) {
+    const Job& job = *waiting.job;
     const JobSpec& s = job.spec;
-    auto blocks = next_attempt(job);
-    if (blocks.empty()) {
+    std::pair<int, int> size{s.tasks, waiting.demands};
+    bool holding = held_since_.count(s.uid) != 0;
+    if (!holding && round.too_large.count(size) != 0) {
         return false;
     }
-    auto key = fmt::format("{}|{}", s.tasks, demands(s));
-    bool holding = held_since_.count(s.uid) != 0;
-    if (!holding && round.hopeless.count(key) != 0) {
+    auto blocks = next_attempt(job);
+    if (blocks.empty()) {
         return false;
     }
     if (!round.others) {
@@ -578,13 +453,14 @@
     GangPlaces best = gang_places(round, job);
     if (best.places.empty()) {
         if (!holding) {
-            round.hopeless.insert(key);
+            round.too_large.insert(size);
         }
         return false;
     }
+    Wait& w = waits_[s.uid];
     double most = longest_pass(*best.places.front().second->machine, s, false);
-    if (best.local < s.tasks && w.level == 0 && w.wait < most && local_chance(round, job)) {
-        w.skipped = true;
+    if (best.local < s.tasks && w.level == 0 && w.wait < most && local_chance(round, waiting)) {
+        skip(w, s.uid);
         return true;  // it has room: nothing needs to be held for it
     }
     if (!enter_places(job, best, blocks)) {
@@ -809,9 +685,10 @@
 
 // The first gang in its team's order holds the machines of ours that will be empty soonest, for
 // a set time: then others have a turn, and a gang that can't be helped that way keeps nothing idle.
-void Scheduler::hold_for(Round& round, const Job& job) {
+void Scheduler::hold_for(Round& round, const Flows::Waiting& waiting) {
+    const Job& job = *waiting.job;
     const JobSpec& s = job.spec;
-    if (job.doubtful() || turn(job) != 0 || !round.held_teams.insert(s.team).second) {
+    if (job.doubtful() || waiting.turn != 0 || !round.held_teams.insert(s.team).second) {
         return;
     }
     double& since = held_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
@@ -865,7 +742,7 @@
     holds_.clear();
 }
 
-void Scheduler::records_changed() {
+void Scheduler::records_changed(const std::set<std::string>& touched) {
     for (std::size_t i = 0; i < unknown_.size();) {
         const Claim& c = unknown_[i];
         bool open = ctx_.jobs.revision_of(c.key) == c.revision &&
@@ -877,20 +754,19 @@
         quota_.release(c.team, c.amount);
         unknown_.erase(unknown_.begin() + static_cast<std::ptrdiff_t>(i));
     }
-    for (auto it = waits_.begin(); it != waits_.end();) {
-        const Job* job = ctx_.jobs.find(it->first);
-        it = job == nullptr || job->open() == 0 ? waits_.erase(it) : std::next(it);
-    }
-    for (auto* times : {&open_since_, &held_since_}) {
-        for (auto it = times->begin(); it != times->end();) {
-            const Job* job = ctx_.jobs.find(it->first);
-            it = job == nullptr || job->open() == 0 ? times->erase(it) : std::next(it);
+    std::set<std::string> placed;  // or over
+    for (const auto& uid : touched) {
+        const Job* job = ctx_.jobs.find(uid);
+        if (job == nullptr || job->open() == 0) {
+            waits_.erase(uid);
+            held_since_.erase(uid);
+            placed.insert(uid);
         }
     }
-    for (auto it = holds_.begin(); it != holds_.end();) {
-        const Job* job = ctx_.jobs.find(it->second.uid);
-        bool over = job == nullptr || job->open() == 0 || it->second.until < ctx_.now.steady;
-        it = over ? holds_.erase(it) : std::next(it);
+    if (!placed.empty()) {
+        std::erase_if(holds_, [&](const auto& h) {
+            return h.second.until < ctx_.now.steady || placed.count(h.second.uid) != 0;
+        });
     }
 }
 
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -6,11 +6,15 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/context.hpp"
 #include "core/fleet.hpp"
+#include "core/flows.hpp"
 #include "core/membership.hpp"
 #include "core/quota.hpp"
 
@@ -18,27 +22,21 @@
 
 class Scheduler {
   public:
-    Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota)
-        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota) {}
+    Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota, const Flows& flows)
+        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota), flows_(flows) {}
 
     void epoch_changed();
-    void records_changed();
+    // touched: jobs that changed
+    void records_changed(const std::set<std::string>& touched);
     void tick();
 
-    // Jobs with tasks to place, in the order in which they are walked.
-    std::vector<const Job*> order() const;
-    double waited_s(const std::string& uid) const;
-    // The same, counted from now on if it was not yet.
-    double open_for_s(const std::string& uid);
-    // This member's place in the order in which members look at a job.
-    std::size_t turn(const Job& job) const;
+    // Whether claims wait for the write limit.
+    bool rush() const { return blocks_open_ >= constants::claim_blocks; }
     // Keeps a machine's room for one job for a while, unless a more urgent one comes.
     void hold(const std::string& machine, const JobSpec& spec, double seconds);
     bool held_for_other(const std::string& machine, const std::string& uid) const;
     // Whether a task of the job may ever be on that machine, and in that zone just now.
     bool allowed(const Job& job, const Machine& m) const;
-    // What a task needs of its machine, as one word: equal for jobs that fit the same machines.
-    static std::string demands(const JobSpec& spec);
     // Best-effort work that may use cheap machines.
     static bool idle_work(const JobSpec& spec);
     static Resources leftover(const MachineType& type, Resources room);
@@ -94,48 +92,61 @@
         std::vector<std::pair<int, Offer*>> places;
         int local = -1;
     };
-    // Answers that hold for every job of the same demands, kept for one round.
+    // A question whose answer holds for every job of the same demands.
+    struct Ask {
+        enum class What { used, cheap, local };
+        What what = What::used;
+        int demands = 0;
+        int image = 0;
+        int tasks = 0;
+        friend bool operator<(const Ask& a, const Ask& b) {
+            return std::tie(a.what, a.demands, a.image, a.tasks) <
+                   std::tie(b.what, b.demands, b.image, b.tasks);
+        }
+    };
     struct Round {
         std::vector<Offer> offers;
-        bool others = false;               // offers of other members' machines are in it
-        std::set<std::string> hopeless;    // demands that fit no offer
-        std::map<std::string, bool> memo;  // by question and demands
+        bool others = false;                      // offers of other members' machines are in it
+        std::set<int> hopeless;                   // demands that fit no offer
+        std::set<std::pair<int, int>> too_large;  // tasks of a gang, and its demands
+        std::map<Ask, bool> memo;
         std::set<std::string> held_teams;  // whose first waiting gang was seen
     };
 
     void round();
     void gather(Round& round, bool mine) const;
-    void walk(Round& round, const Job& job);
+    void walk(Round& round, const Flows::Waiting& waiting);
     int claim_tasks(const Job& job, const std::vector<Choice>& choices);
-    bool claim_gang(Round& round, const Job& job, Wait& w);
+    bool claim_gang(Round& round, const Flows::Waiting& waiting);
     std::map<int, Block> next_attempt(const Job& job) const;
     GangPlaces gang_places(Round& round, const Job& job) const;
     static GangPlaces fill(const std::vector<Choice>& choices, const JobSpec& spec);
     bool enter_places(const Job& job, const GangPlaces& best, std::map<int, Block>& blocks) const;
-    double dominant(const Resources& amount) const;
     Resources room_for(const Offer& offer, const JobSpec& spec) const;
-    bool local_chance(Round& round, const Job& job) const;
+    bool local_chance(Round& round, const Flows::Waiting& waiting) const;
     bool slow_fetch(const Offer& offer, int image) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
     double rank(const Offer& offer, const Job& job) const;
-    bool cheap_coming(Round& round, const Offer& offer, const Job& job) const;
-    bool better_elsewhere(Round& round, const Offer& offer, const Job& job) const;
+    bool cheap_coming(Round& round, const Offer& offer, const Flows::Waiting& waiting) const;
+    bool better_elsewhere(Round& round, const Offer& offer, const Flows::Waiting& waiting) const;
+    void skip(Wait& wait, const std::string& uid);
     void add_claim(const Job& job, const std::map<int, Block>& blocks,
                    const std::vector<std::string>& machines, int tasks);
-    void hold_for(Round& round, const Job& job);
+    void hold_for(Round& round, const Flows::Waiting& waiting);
 
     Context& ctx_;
     Membership& members_;
     Fleet& fleet_;
     Quota& quota_;
-    std::map<std::string, Wait> waits_;
+    const Flows& flows_;
+    std::unordered_map<std::string, Wait> waits_;  // by job
+    std::vector<std::string> skipped_;             // jobs that let machines pass in the last round
     std::map<std::string, Hold> holds_;          // by machine
     std::map<std::string, Resources> reserved_;  // by machine, claims under way
     std::vector<Claim> unknown_;
     Batch batch_;
     std::size_t blocks_open_ = 0;               // claims on their way to the records
-    std::map<std::string, double> open_since_;  // jobs with tasks to place
     std::map<std::string, double> held_since_;  // gangs that machines are held for
     double last_round_ = 0;
 };
