--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -33,9 +33,13 @@
 };
 
 struct Txn {
+    // What it is for, as the log counts it.
+    enum class Purpose { other, accept, cancel, claim, end, final, mark, sheet, count };
     std::vector<Condition> conditions;
     std::vector<Write> writes;
     Urgency urgency = Urgency::normal;
+    Purpose purpose = Purpose::other;
+    std::size_t spared = 0;  // writes that it makes unnecessary
 };
 
 struct StateCall {
@@ -141,6 +145,12 @@
     std::vector<std::string> machines;
 };
 
+// What a member runs short of, as it tells the others.
+struct PressureWord {
+    double write_wait_s = 0;  // that a change waits for its answer
+    double writes = 0;        // puts and deletes a second, with those spared by sharing records
+};
+
 // A message to a peer; relays carry a report and expect a worker's answer.
 struct PeerCall {
     std::uint64_t id = 0;
@@ -148,6 +158,7 @@
     bool state_contact = false;
     std::optional<Report> relay;
     std::vector<RentalWord> rentals;
+    std::optional<PressureWord> pressure;
 };
 
 struct LogLine {
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -45,6 +45,29 @@
 // s a peer's word about its state contact is believed
 inline constexpr double peer_word_s = 3.0;
 
+// --- pressure -----------------------------------------------------------------------------
+// weight of one more change in what changes took lately: some ten count, a second's worth
+inline constexpr double pressure_smooth = 0.1;
+// s over which the rate of changes is told
+inline constexpr double pressure_rate_s = 3.0;
+// s between looks at it, and between changes of the admission table that are no emergency: the
+// table costs writes, of which there are too few just then
+inline constexpr double accord_every_s = 0.5;
+inline constexpr double table_every_s = 4.0;
+// s that a change waits from which on writes count as short, and for how many s that must hold: a
+// change takes some hundredths of a second, and a burst that is over by then needs no table
+inline constexpr double writes_short_s = 0.4;
+inline constexpr double writes_short_for_s = 1.0;
+// s waited, share of the write limit asked for, and s for which both must be less, for writes to be
+// no longer short: what is saved by sharing counts as asked for, or it would end at once
+inline constexpr double writes_calm_s = 0.2;
+inline constexpr double writes_calm_share = 0.6;
+inline constexpr double writes_calm_for_s = 15.0;
+// share of all machines by which a member's part must be off to be set anew
+inline constexpr double parts_step = 0.04;
+// s between words in the log about what is short
+inline constexpr double pressure_word_every_s = 10.0;
+
 // --- state service ------------------------------------------------------------------------
 // s; an answer later than this is taken as "may have been executed"
 inline constexpr double state_timeout_s = 2.0;
@@ -79,6 +102,24 @@
 inline constexpr int placement_bytes = 40;
 // bytes of a block's record beside its placed and done tasks
 inline constexpr int block_frame_bytes = 160;
+// bytes of a sheet's entry beside its uid and its tasks: four numbers, one of them a revision, and
+// the brackets
+inline constexpr std::size_t entry_frame_bytes = 40;
+// bytes of a sheet beside its entries and its zones' names
+inline constexpr std::size_t sheet_frame_bytes = 64;
+// bytes of a sheet at the most: every member reads it whole with each write of it
+inline constexpr std::size_t sheet_bytes = 8192;
+// share of a sheet that may still be needed when it is written again; beyond it a new one is begun
+inline constexpr double sheet_kept_share = 0.25;
+// sheets removed in one change: they are in nobody's way
+inline constexpr std::size_t sheets_retired = 4;
+// writes of sheets with claims on their way at the most: more would only wait for each other
+inline constexpr std::size_t sheets_open = 2;
+// s between writes of a sheet with ends
+inline constexpr double sheet_ends_every_s = 0.5;
+// tasks of one block from which on a claim takes the block's own record: as many in a sheet would
+// leave little room for others
+inline constexpr int sheet_claim_tasks = 32;
 // bytes of a value round the list that it holds: {"follows":[]} or {"jobs":[]}
 inline constexpr std::size_t listing_frame_bytes = 16;
 // bytes of a record of marks beside its machines' names
@@ -139,6 +180,9 @@
 // records of accepted jobs on their way at the most: jobs that come meanwhile share the next one,
 // and the write limit allows no more in the time of an answer
 inline constexpr std::size_t accepts_open = 2;
+// s between such records while writes are short: more jobs share one, and their users wait that
+// much longer of the second that they allow
+inline constexpr double accepts_every_s = 0.25;
 // times a submission is tried again after a conflict, and a cancellation
 inline constexpr int accept_tries = 4;
 inline constexpr int cancel_tries = 8;
--- a/src/core/context.hpp
+++ b/src/core/context.hpp
@@ -14,6 +14,7 @@
 #include "core/actions.hpp"
 #include "core/constants.hpp"
 #include "core/jobs.hpp"
+#include "core/pressure.hpp"
 #include "core/types.hpp"
 
 namespace cranemoor::core {
@@ -30,6 +31,7 @@
 
     void state(StateCall call, StateDone done) {
         call.id = ++next_id_;
+        pressure.began(call.id, call.txn, now.steady);
         state_done_[call.id] = std::move(done);
         out.emplace_back(std::move(call));
     }
@@ -87,7 +89,10 @@
         out.emplace_back(LogLine{LogLine::Level::error, fmt::format(f, std::forward<A>(a)...)});
     }
 
-    void state_reply(std::uint64_t id, const StateReply& r) { finish(state_done_, id, r); }
+    void state_reply(std::uint64_t id, const StateReply& r) {
+        pressure.ended(id, r.status, now.steady);
+        finish(state_done_, id, r);
+    }
     void cloud_reply(std::uint64_t id, const CloudReply& r) { finish(cloud_done_, id, r); }
     void order_reply(std::uint64_t id, const OrderReply& r) { finish(order_done_, id, r); }
     void peer_reply(std::uint64_t id, bool answered, const std::optional<WorkerReply>& r) {
@@ -127,13 +132,13 @@
     }
     std::size_t ops_max() const { return static_cast<std::size_t>(settings.state_txn_ops); }
     std::size_t conditions_max() const { return ops_max() * 4; }
-    // Whether every controller has run this version. From then on records are used that the
-    // version before would misread: one that dies before its turn and comes back old holds that
-    // up, and is named here by its settings, not by who happens to be a member.
-    bool upgraded() const {
-        return jobs.upgraded(settings.name) &&
+    // Whether every controller has run a version that understands so much. From then on records are
+    // used that the versions before would misread: one that dies before its turn and comes back old
+    // holds that up, and is named here by its settings, not by who happens to be a member.
+    bool upgraded(int level = 1) const {
+        return jobs.level(settings.name) >= level &&
                std::all_of(settings.peers.begin(), settings.peers.end(),
-                           [this](const Peer& p) { return jobs.upgraded(p.name); });
+                           [this, level](const Peer& p) { return jobs.level(p.name) >= level; });
     }
 
     Condition epoch_condition() const { return {keys::epoch, jobs.revision_of(keys::epoch)}; }
@@ -143,6 +148,7 @@
     const std::string boot;
     Now now;
     Jobs jobs;
+    Pressure pressure;
     std::vector<Action> out;
 
     // This process's membership; id 0 while it is in no epoch. Kept by Membership.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -6,9 +6,11 @@
     : ctx_(std::move(settings), tunables, std::move(boot)),
       members_(ctx_),
       quota_(ctx_),
-      fleet_(ctx_, members_, quota_),
+      sheets_(ctx_),
+      fleet_(ctx_, members_, quota_, sheets_),
       flows_(ctx_, fleet_),
-      scheduler_(ctx_, members_, fleet_, quota_, flows_),
+      accord_(ctx_, members_, fleet_),
+      scheduler_(ctx_, members_, fleet_, quota_, flows_, sheets_),
       preemption_(ctx_, members_, fleet_, scheduler_, quota_, flows_),
       provisioner_(ctx_, members_, fleet_, scheduler_, quota_, flows_),
       finals_(ctx_, members_),
@@ -43,6 +45,8 @@
 void Controller::tick(Now now) {
     ctx_.now = now;
     members_.tick();
+    accord_.tick();
+    sheets_.tick();
     conversion_.tick();
     dependencies_.tick();
     fleet_.tick();
@@ -86,10 +90,14 @@
 }
 
 void Controller::peer_word(Now now, const std::string& peer, bool contact,
-                           const std::vector<RentalWord>& rentals) {
+                           const std::vector<RentalWord>& rentals,
+                           const std::optional<PressureWord>& pressure) {
     ctx_.now = now;
     members_.peer_word(peer, contact);
     provisioner_.hear(rentals);
+    if (pressure) {
+        accord_.hear(peer, *pressure);
+    }
 }
 
 void Controller::state_reply(Now now, std::uint64_t id, const StateReply& reply) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/accord.hpp"
 #include "core/context.hpp"
 #include "core/conversion.hpp"
 #include "core/dependencies.hpp"
@@ -17,6 +18,7 @@
 #include "core/quota.hpp"
 #include "core/requests.hpp"
 #include "core/scheduler.hpp"
+#include "core/sheets.hpp"
 
 namespace cranemoor::core {
 
@@ -38,7 +40,8 @@
 
     void report(Now now, std::uint64_t request, const Report& report, bool relayed);
     void peer_word(Now now, const std::string& peer, bool contact,
-                   const std::vector<RentalWord>& rentals);
+                   const std::vector<RentalWord>& rentals,
+                   const std::optional<PressureWord>& pressure = std::nullopt);
 
     void state_reply(Now now, std::uint64_t id, const StateReply& reply);
     void cloud_reply(Now now, std::uint64_t id, const CloudReply& reply);
@@ -56,8 +59,10 @@
     Context ctx_;
     Membership members_;
     Quota quota_;
+    Sheets sheets_;
     Fleet fleet_;
     Flows flows_;
+    Accord accord_;
     Scheduler scheduler_;
     Preemption preemption_;
     Provisioner provisioner_;
--- a/src/core/finals.cpp
+++ b/src/core/finals.cpp
@@ -45,6 +45,7 @@
             continue;
         }
         Txn txn;
+        txn.purpose = Txn::Purpose::final;
         txn.conditions.push_back(ctx_.epoch_condition());
         if (job.revision != 0 && !job.final) {
             // A cancellation stands even if the last task was done before it could be stopped:
@@ -120,6 +121,7 @@
         }
     }
     Txn txn;
+    txn.purpose = Txn::Purpose::final;
     txn.conditions.push_back(ctx_.epoch_condition());
     if (gone.empty()) {
         retire_listings(outgrown, txn);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -689,6 +689,7 @@
 void Fleet::write_marks() {
     auto waiting = std::exchange(to_mark_, {});
     Txn txn;
+    txn.purpose = Txn::Purpose::mark;
     std::set<std::string> names;
     auto send = [&] {
         if (txn.writes.empty()) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -85,8 +85,8 @@
 
 class Fleet {
   public:
-    Fleet(Context& ctx, Membership& members, const Quota& quota)
-        : ctx_(ctx), members_(members), outcomes_(ctx, quota, *this), gang_stops_(ctx) {}
+    Fleet(Context& ctx, Membership& members, const Quota& quota, Sheets& sheets)
+        : ctx_(ctx), members_(members), outcomes_(ctx, quota, *this, sheets), gang_stops_(ctx) {}
 
     // A report; relayed ones came over a peer and are never passed on again.
     void report(std::uint64_t request, const Report& report, bool relayed);
@@ -98,6 +98,7 @@
     void set_types(const std::vector<MachineType>& types);
 
     std::map<std::string, Machine>& machines() { return machines_; }
+    const std::map<std::string, Machine>& machines() const { return machines_; }
     Machine* find(const std::string& name);
     const Machine* find(const std::string& name) const;
     const MachineType* type(const std::string& name) const;
--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -160,9 +160,8 @@
     std::map<std::string, std::pair<bool, double>> teams;  // above its guarantee, need
     for (const auto& t : ctx_.settings.teams) {
         const Resources& used = ctx_.jobs.used(t.name);
-        double deficit =
-            std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
-                     t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
+        double deficit = std::max(t.guarantee.gpus > 0 ? 1 - part(used.gpus, t.guarantee.gpus) : 0,
+                                  t.guarantee.cpus > 0 ? 1 - part(used.cpus, t.guarantee.cpus) : 0);
         bool below = deficit > Resources::slack;
         // The settings carry no weights: a team weighs what it is guaranteed, else 1. Amounts are
         // compared by the resource of which they take most: a team may use CPUs alone.
--- a/src/core/flows.hpp
+++ b/src/core/flows.hpp
@@ -1,5 +1,5 @@
-// Flows: the jobs that have tasks to place, in the order in which they are looked at. Kept up to date
-// by the change stream, so that a look costs what it visits and not what waits.
+// Flows: the jobs that have tasks to place, in the order in which they are looked at. Kept up to
+// date by the change stream, so that a look costs what it visits and not what waits.
 #pragma once
 
 #include <map>
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cranemoor::core {
 
@@ -56,7 +57,7 @@
 std::vector<std::pair<std::string, Revision>> Job::other_records() const {
     std::vector<std::pair<std::string, Revision>> list;
     for (const auto& [k, b] : page_size > 0 ? whole : blocks) {
-        if (k != 0) {
+        if (k != 0 && b.revision != 0) {
             list.emplace_back(keys::block(spec.uid, k), b.revision);
         }
     }
@@ -98,6 +99,14 @@
 void Jobs::end_load(Revision revision) {
     revision_ = revision;
     loaded_ = true;
+    // Sheets were read one after the other: what they say is taken in as it was said.
+    for (auto& [uid, said] : said_) {
+        std::sort(said.begin(), said.end(),
+                  [](const auto& a, const auto& b) { return a->at < b->at; });
+        for (const auto& entry : said) {
+            take_in(*entry);
+        }
+    }
 }
 
 Revision Jobs::revision_of(const std::string& key) const {
@@ -151,6 +160,17 @@
 }
 
 void Jobs::classify(const std::string& uid, Job& job) {
+    if (job.first_record().final && job.page_size == 0) {
+        // What only sheets told of it has no record that would have to be removed.
+        for (auto it = job.blocks.begin(); it != job.blocks.end();) {
+            int k = it->first;
+            bool told = k != 0 && it->second.revision == 0;
+            ++it;
+            if (told) {
+                drop_block(job, k);
+            }
+        }
+    }
     job.done_total = 0;
     job.placed_total = 0;
     job.fails = 0;
@@ -283,9 +303,133 @@
             index(job, b, 1);
         }
     }
+    if (auto said = said_.find(uid); first && loaded_ && said != said_.end()) {
+        for (const auto& entry : said->second) {
+            take_in(*entry);
+        }
+    }
     classify(uid, job);
 }
 
+namespace {
+// Enters what a sheet says of a block's tasks, from one number to another. Saying it twice changes
+// nothing, and what ended is never placed again under the same attempt.
+void say(Block& b, const Entry& e, int from, int to, bool claims) {
+    b.merged = std::max(b.merged, e.at);
+    for (const auto& [task, place] : e.placed) {
+        auto p = b.placed.find(task);
+        bool newer = p == b.placed.end() || p->second.attempt < place.attempt;
+        if (claims && task >= from && task <= to && newer && !b.is_done(task)) {
+            b.placed[task] = place;
+            b.attempt = std::max(b.attempt, place.attempt);
+        }
+    }
+    for (const auto* ended : {&e.done, &e.lost}) {
+        for (const auto& [task, attempt] : *ended) {
+            auto p = b.placed.find(task);
+            if (task < from || task > to || p == b.placed.end() || p->second.attempt != attempt) {
+                continue;
+            }
+            b.placed.erase(p);
+            if (ended == &e.done) {
+                b.add_done(task);
+            }
+        }
+    }
+}
+
+constexpr int every_task = std::numeric_limits<int>::max();
+}  // namespace
+
+// Guards against a claim or an end that is forgotten, since the record of its block was written by
+// somebody who did not know of it yet: each record says up to which revision sheets are in it.
+void Jobs::merge(const std::string& uid, int k, Block& next) const {
+    auto said = said_.find(uid);
+    if (said == said_.end() || next.final || !loaded_) {
+        return;
+    }
+    Revision merged = next.merged;
+    for (const auto& entry : said->second) {
+        if (entry->block == k && entry->at > merged) {
+            say(next, *entry, 0, every_task, true);
+        }
+    }
+}
+
+void Jobs::take_in(const Entry& e) {
+    auto it = jobs_.find(e.uid);
+    if (!loaded_ || it == jobs_.end() || it->second.revision == 0 || it->second.final) {
+        return;  // its turn comes, or it is over
+    }
+    Job& job = it->second;
+    if (job.page_size > 0) {
+        take_in_parted(job, e);
+    } else if (job.block(e.block).merged < e.at) {
+        Block next = job.block(e.block);
+        say(next, e, 0, every_task, true);
+        set_block(job, e.block, std::move(next));
+    }
+    classify(e.uid, job);
+}
+
+// A job's blocks may have become pages after a sheet told of them.
+void Jobs::take_in_parted(Job& job, const Entry& e) {
+    Block& record = job.whole[e.block];
+    if (record.merged < e.at) {
+        say(record, e, 0, every_task, true);
+        cut(job);
+    }
+    for (const auto& [k, revision] : job.pages) {
+        if (job.block(k).merged < e.at) {
+            Block page = job.block(k);
+            say(page, e, job.block_first(k), job.block_last(k), false);
+            set_block(job, k, std::move(page));
+        }
+    }
+}
+
+bool Jobs::needed(const Entry& e) const {
+    auto it = jobs_.find(e.uid);
+    if (it == jobs_.end() || it->second.revision == 0 || it->second.final) {
+        return false;
+    }
+    const Job& job = it->second;
+    return job.page_size > 0 || job.block(e.block).recorded < e.at;
+}
+
+void Jobs::put_sheet(const std::string& key, const Sheet& sheet) {
+    Said before = std::exchange(sheets_[key], {});
+    Said& now = sheets_[key];
+    auto same = [](const Entry& a, const Entry& b) {
+        return a.at == b.at && a.block == b.block && a.uid == b.uid;
+    };
+    // What a sheet still has of what it said before is there in the same order.
+    auto next = before.begin();
+    for (const auto& e : sheet.entries) {
+        auto old = std::find_if(next, before.end(), [&](const auto& o) { return same(*o, e); });
+        if (old != before.end()) {
+            now.push_back(std::exchange(*old, nullptr));
+            next = std::next(old);
+            continue;
+        }
+        now.push_back(std::make_shared<const Entry>(e));
+        said_[e.uid].push_back(now.back());
+        take_in(e);
+    }
+    for (const auto& gone : before) {
+        if (gone != nullptr) {
+            auto& said = said_[gone->uid];
+            std::erase(said, gone);
+            if (said.empty()) {
+                said_.erase(gone->uid);
+            }
+        }
+    }
+    if (now.empty()) {
+        sheets_.erase(key);
+    }
+}
+
 void Jobs::gather_follows(const std::string& uid) {
     auto job = jobs_.find(uid);
     auto parts = follow_parts_.find(uid);
@@ -322,6 +466,7 @@
         }
         const Block& record = it->second;
         page.attempt = std::max(page.attempt, record.attempt);
+        page.merged = std::max(page.merged, record.merged);
         page.fails = std::max(page.fails, record.fails);
         page.placed.insert(record.placed.lower_bound(from), record.placed.upper_bound(to));
         for (const auto& range : record.done) {
@@ -383,6 +528,8 @@
     if (job.revision == 0) {
         job.spec.uid = uid;
     }
+    next.recorded = next.merged;
+    merge(uid, k, next);
     if (job.page_size == 0) {
         set_block(job, k, std::move(next));
     } else {
@@ -400,6 +547,24 @@
     classify(uid, job);
 }
 
+void Jobs::put_page(const std::string& uid, int k, Block next) {
+    Job& job = jobs_[uid];
+    job.pages[k] = next.revision;
+    if (!job.first_record().final) {
+        auto said = said_.find(uid);
+        if (said != said_.end() && job.revision != 0 && loaded_) {
+            Revision merged = next.merged;
+            for (const auto& entry : said->second) {
+                if (entry->at > merged) {
+                    say(next, *entry, job.block_first(k), job.block_last(k), false);
+                }
+            }
+        }
+        set_block(job, k, std::move(next));
+    }
+    classify(uid, job);
+}
+
 // Takes a job out that no record lists any more.
 void Jobs::unlist(const std::string& uid) {
     auto it = jobs_.find(uid);
@@ -467,20 +632,19 @@
         put_record(uid, k, std::move(next));
     } else if (has_prefix(key, "c/p/")) {
         auto [uid, k] = parts_of(key);
-        Job& job = jobs_[uid];
         Block next = decode_block(value);
         next.revision = revision;
-        job.pages[k] = revision;
-        if (!job.first_record().final) {
-            set_block(job, k, std::move(next));
-        }
-        classify(uid, job);
+        put_page(uid, k, std::move(next));
     } else if (has_prefix(key, "c/l/")) {
         auto [uid, part] = parts_of(key);
         follow_parts_[uid][part] = decode_follows(value);
         gather_follows(uid);
     } else if (has_prefix(key, "c/v/")) {
-        versions_.insert(key);
+        levels_[key] = value.value("level", 1);
+    } else if (key == keys::table) {
+        table_ = decode_table(value, revision);
+    } else if (has_prefix(key, "c/s/")) {
+        put_sheet(key, decode_sheet(value, revision));
     } else if (has_prefix(key, "c/q/")) {
         Slices s = decode_slices(value);
         s.revision = revision;
@@ -541,7 +705,11 @@
             }
         }
     } else if (has_prefix(key, "c/v/")) {
-        versions_.erase(key);
+        levels_.erase(key);
+    } else if (key == keys::table) {
+        table_.reset();
+    } else if (has_prefix(key, "c/s/")) {
+        put_sheet(key, {});
     } else if (has_prefix(key, "c/q/")) {
         slices_.erase(key);
     } else if (has_prefix(key, "c/x/")) {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/table.hpp"
 #include "core/actions.hpp"
 #include "core/constants.hpp"
 #include "core/records.hpp"
@@ -127,6 +129,11 @@
     const std::map<std::string, Marks>& marks() const { return marks_; }  // by key
     const Mark* mark(const std::string& machine) const;
     const std::map<std::string, Slices>& slices() const { return slices_; }  // by key
+    // What each sheet says, by key.
+    using Said = std::vector<std::shared_ptr<const Entry>>;
+    const std::map<std::string, Said>& sheets() const { return sheets_; }
+    // Whether anything would be forgotten without that entry of a sheet.
+    bool needed(const Entry& entry) const;
     // A task with its place, as long as the records stay as they are.
     struct Placed {
         const Job* job;
@@ -148,10 +155,12 @@
     const Resources& used_on(const std::string& machine) const;
     // placements that appeared since the last call, for the image estimate
     std::vector<std::pair<TaskId, Placement>> take_new_placements();
-    // Whether the controller of that name has ever run a version with pages and dependent jobs.
-    bool upgraded(const std::string& name) const {
-        return versions_.count(keys::version(name)) != 0;
+    // What the newest version understood that the controller of that name has ever run, see level_now.
+    int level(const std::string& name) const {
+        auto it = levels_.find(keys::version(name));
+        return it == levels_.end() ? 0 : it->second;
     }
+    const std::optional<admission::Table>& table() const { return table_; }
     // Parts of what a job follows, by its uid and their number.
     using Parts = std::map<int, std::vector<std::string>>;
     const std::map<std::string, Parts>& follow_parts() const { return follow_parts_; }
@@ -175,6 +184,11 @@
     void set_block(Job& job, int k, Block next);
     void drop_block(Job& job, int k);
     void put_record(const std::string& uid, int k, Block next);
+    void put_page(const std::string& uid, int k, Block next);
+    void put_sheet(const std::string& key, const Sheet& sheet);
+    void merge(const std::string& uid, int k, Block& next) const;
+    void take_in(const Entry& entry);
+    void take_in_parted(Job& job, const Entry& entry);
     void cut(Job& job);
     void cut(Job& job, int page);
     void gather_follows(const std::string& uid);
@@ -195,7 +209,10 @@
     std::unordered_map<std::string, Job> jobs_;
     std::map<std::string, Listing> listings_;
     std::unordered_map<std::string, std::size_t> listing_bytes_;
-    std::set<std::string> versions_;
+    std::map<std::string, int> levels_;  // by key
+    std::optional<admission::Table> table_;
+    std::map<std::string, Said> sheets_;
+    std::unordered_map<std::string, Said> said_;  // the same by job, in the order of their writes
     std::map<std::string, Parts> follow_parts_;
     std::unordered_map<std::string, int> listed_;       // in how many of them a job is
     std::set<std::pair<Revision, std::string>> final_;  // by the revision of the final state
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -35,7 +35,11 @@
         }
         loading_ = false;
         ctx_.jobs.end_load(first);
-        settle();
+        // Pages that were read at different moments say what was never true together, until the
+        // watch has told of all changes between them: it does so at once.
+        if (r.revision == first) {
+            settle();
+        }
         watch();
     });
 }
@@ -179,8 +183,9 @@
     txn.urgency = Urgency::first;
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}, {key, encode_member(me), lease_}};
-    if (!ctx_.jobs.upgraded(ctx_.settings.name)) {
-        txn.writes.push_back({keys::version(ctx_.settings.name), Json{{"name", me.name}}});
+    if (ctx_.jobs.level(ctx_.settings.name) < level_now) {
+        txn.writes.push_back({keys::version(ctx_.settings.name),
+                              Json{{"name", me.name}, {"level", level_now}}});
     }
     ctx_.txn(txn, [this](const StateReply& r) {
         auto again = [this] {
@@ -270,6 +275,7 @@
             PeerCall call;
             call.peer = p.name;
             call.state_contact = in_contact();
+            call.pressure = ctx_.pressure.word(t);
             ctx_.peer(call, [](bool, const std::optional<WorkerReply>&) {});
         }
     }
--- a/src/core/outcomes.cpp
+++ b/src/core/outcomes.cpp
@@ -65,7 +65,8 @@
 // meanwhile: a task that ended leaves its room at once, and the last one here to end writes them
 // all. What must start again, and what a team near its limit gives back, is urgent.
 bool Outcomes::due(const Job& job, const Block& block, const Pending& pending) const {
-    double limit = job.cancelled ? constants::outcome_soon_s : constants::outcome_hold_s;
+    bool soon = job.cancelled || sheets_.shared(job);
+    double limit = soon ? constants::outcome_soon_s : constants::outcome_hold_s;
     if (ctx_.now.steady - pending.since >= limit || job.spec.kind == JobKind::gang) {
         return true;
     }
@@ -116,18 +117,35 @@
     next.fails = some_done ? 0 : next.fails + (some_error ? 1 : 0);
 }
 
-// Ends go out in the order in which they are missed, and only so many at once: while writes are
-// short they would wait anyway, and what is told meanwhile goes with them.
 void Outcomes::flush() {
     if (!ctx_.member) {
         return;
     }
-    std::vector<std::tuple<bool, double, std::pair<std::string, int>>> ready;
+    std::vector<Which> blocks;
+    std::vector<Which> to_sheet;
+    bool later = true;  // whether nobody misses any of them
+    for (const auto& ready : look_through()) {
+        if (for_sheet(ready.which)) {
+            to_sheet.push_back(ready.which);
+        } else {
+            later = later && ready.later;
+            blocks.push_back(ready.which);
+        }
+    }
+    write_blocks(blocks, later);
+    write_sheet(to_sheet);
+}
+
+// The blocks whose ends are due, in the order in which they are missed.
+std::vector<Outcomes::Ready> Outcomes::look_through() {
+    std::vector<Ready> ready;
+    bool all = ctx_.now.steady >= next_look_;
+    next_look_ = all ? ctx_.now.steady + constants::round_every_s : next_look_;
     for (auto it = pending_.begin(); it != pending_.end();) {
         const auto& [uid, k] = it->first;
         auto& pending = it->second;
         auto& tasks = pending.tasks;
-        bool waited = ctx_.now.steady - pending.since >= constants::outcome_soon_s;
+        bool waited = all && ctx_.now.steady - pending.since >= constants::outcome_soon_s;
         if (!pending.look && !waited) {
             ++it;
             continue;
@@ -154,48 +172,116 @@
                           job->done() + static_cast<int>(tasks.size()) >= job->spec.tasks ||
                           std::any_of(tasks.begin(), tasks.end(),
                                       [](const auto& t) { return !t.second.done; });
-            ready.emplace_back(!missed, pending.since, it->first);
+            ready.push_back({!missed, pending.since, it->first});
         }
         ++it;
     }
-    std::sort(ready.begin(), ready.end());
+    std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+        return std::tie(a.later, a.since, a.which) < std::tie(b.later, b.since, b.which);
+    });
+    return ready;
+}
+
+// Only so many at once: while writes are short they would wait anyway, and what is told meanwhile
+// goes with them.
+void Outcomes::write_blocks(const std::vector<Which>& ready, bool later) {
     Txn txn;
+    txn.purpose = Txn::Purpose::end;
     std::vector<std::string> taken;
-    std::vector<std::pair<std::string, int>> written;
+    std::vector<Which> written;
     bool full = false;
-    for (const auto& [later, since, key] : ready) {
+    for (const auto& which : ready) {
         full = full || ends_open_ + written.size() >= constants::ends_open;
-        if (full || !add_ends(key, txn, taken)) {
-            pending_[key].look = true;
+        if (full || !add_ends(which, txn, taken)) {
+            pending_[which].look = true;
         } else {
-            written.push_back(key);
-            txn.urgency = written.size() == 1 && later ? Urgency::last : txn.urgency;
+            written.push_back(which);
         }
     }
     if (txn.writes.empty()) {
         return;
     }
+    txn.urgency = later ? Urgency::last : Urgency::normal;
     txn.conditions.push_back(ctx_.epoch_condition());
     ends_open_ += written.size();
-    ctx_.txn(txn, [this, taken, written](const StateReply& r) {
-        // Refused or unknown: the next tick tries again. If the first one is executed late, its
-        // conditions fail or it says the same.
+    ctx_.txn(std::move(txn), [this, taken, written](const StateReply& r) {
         ends_open_ -= written.size();
-        ctx_.when_settled(r, [this, taken, written] {
-            for (const auto& key : taken) {
-                ctx_.busy.erase(key);
-            }
-            for (const auto& key : written) {
-                if (auto it = pending_.find(key); it != pending_.end()) {
-                    it->second.look = true;
-                }
+        settled(r, taken, written);
+    });
+}
+
+// Refused or unknown: the next tick tries again. If the first one is executed late, its conditions
+// fail or it says the same.
+void Outcomes::settled(const StateReply& r, const std::vector<std::string>& taken,
+                       const std::vector<Which>& blocks) {
+    ctx_.when_settled(r, [this, taken, blocks] {
+        for (const auto& key : taken) {
+            ctx_.busy.erase(key);
+        }
+        for (const auto& which : blocks) {
+            if (auto it = pending_.find(which); it != pending_.end()) {
+                it->second.look = true;
             }
-        });
+        }
+    });
+}
+
+// Whether a block's ends are facts that need its record only in time: no failure is to be counted
+// there, and the job is not over with them.
+bool Outcomes::for_sheet(const Which& which) const {
+    const Job& job = *ctx_.jobs.find(which.first);
+    const auto& tasks = pending_.at(which).tasks;
+    if (!sheets_.shared(job) || job.block(which.second).fails > 0) {
+        return false;
+    }
+    auto count = [&](auto what) { return std::count_if(tasks.begin(), tasks.end(), what); };
+    auto done = count([](const auto& t) { return t.second.done; });
+    bool failed = count([](const auto& t) { return t.second.error; }) > 0;
+    return !failed && (job.cancelled || job.done() + done < job.spec.tasks);
+}
+
+// Ends of many blocks in one write. An end is true whatever becomes of its block, so that nothing
+// but the epoch is a condition of it.
+void Outcomes::write_sheet(const std::vector<Which>& ready) {
+    std::vector<Entry> entries;
+    std::vector<std::string> taken;
+    std::vector<Which> written;
+    std::size_t bytes = 0;
+    bool wait = sheet_open_ || ctx_.now.steady < next_sheet_;
+    for (const auto& which : ready) {
+        const Job& job = *ctx_.jobs.find(which.first);
+        auto key = job.block_key(which.second);
+        Pending& pending = pending_.at(which);
+        Entry entry;
+        entry.uid = which.first;
+        entry.block = which.second;
+        for (const auto& [task, o] : pending.tasks) {
+            (o.done ? entry.done : entry.lost).emplace_back(task, o.attempt);
+        }
+        std::size_t more = bytes_of(entry);
+        if (wait || bytes + more > sheets_.room() || ctx_.busy.count(key) != 0) {
+            pending.look = true;
+            continue;
+        }
+        bytes += more;
+        entries.push_back(std::move(entry));
+        taken.push_back(key);
+        written.push_back(which);
+    }
+    if (entries.empty()) {
+        return;
+    }
+    ctx_.busy.insert(taken.begin(), taken.end());
+    sheet_open_ = true;
+    next_sheet_ = ctx_.now.steady + constants::sheet_ends_every_s;
+    sheets_.write(std::move(entries), {}, [this, taken, written](const StateReply& r) {
+        sheet_open_ = false;
+        settled(r, taken, written);
     });
 }
 
 // Adds the ends of one block's tasks to a transaction, if it takes them now.
-bool Outcomes::add_ends(const std::pair<std::string, int>& which, Txn& txn,
+bool Outcomes::add_ends(const Which& which, Txn& txn,
                         std::vector<std::string>& taken) {
     const auto& [uid, k] = which;
     const Job& job = *ctx_.jobs.find(uid);
--- a/src/core/outcomes.hpp
+++ b/src/core/outcomes.hpp
@@ -8,6 +8,7 @@
 
 #include "core/context.hpp"
 #include "core/quota.hpp"
+#include "core/sheets.hpp"
 
 namespace cranemoor::core {
 
@@ -23,8 +24,8 @@
         bool error = false;  // the task itself failed
     };
 
-    Outcomes(Context& ctx, const Quota& quota, const Fleet& fleet)
-        : ctx_(ctx), quota_(quota), fleet_(fleet) {}
+    Outcomes(Context& ctx, const Quota& quota, const Fleet& fleet, Sheets& sheets)
+        : ctx_(ctx), quota_(quota), fleet_(fleet), sheets_(sheets) {}
 
     void add(const TaskId& id, const Outcome& outcome);
     const Outcome* find(const Job& job, int task) const;
@@ -46,13 +47,28 @@
     };
 
     bool due(const Job& job, const Block& block, const Pending& pending) const;
-    bool add_ends(const std::pair<std::string, int>& which, Txn& txn,
-                  std::vector<std::string>& taken);
+    using Which = std::pair<std::string, int>;  // job and block
+    struct Ready {
+        bool later = false;  // nobody misses it yet
+        double since = 0;
+        Which which;
+    };
+    std::vector<Ready> look_through();
+    bool for_sheet(const Which& which) const;
+    void write_blocks(const std::vector<Which>& ready, bool later);
+    void write_sheet(const std::vector<Which>& ready);
+    bool add_ends(const Which& which, Txn& txn, std::vector<std::string>& taken);
+    void settled(const StateReply& reply, const std::vector<std::string>& taken,
+                 const std::vector<Which>& blocks);
 
     Context& ctx_;
     const Quota& quota_;
     const Fleet& fleet_;
-    std::map<std::pair<std::string, int>, Pending> pending_;  // by job and block
+    Sheets& sheets_;
+    bool sheet_open_ = false;
+    double next_sheet_ = 0;
+    std::map<Which, Pending> pending_;
+    double next_look_ = 0;  // at all of them
     std::size_t ends_open_ = 0;  // blocks whose ends are on their way to the records
 };
 
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -173,8 +173,7 @@
     }
     // Room without the image costs a production job its fetch time: less than that is lost
     // by stopping a newer, lower task where the image is.
-    bool fetch_hurts =
-        s.priority == Priority::production && best && best->local && s.image_gb > 0;
+    bool fetch_hurts = s.priority == Priority::production && best && best->local && s.image_gb > 0;
     if (!best || local_room || (room && !fetch_hurts)) {
         return;
     }
--- /dev/null
+++ b/src/core/pressure.cpp
@@ -0,0 +1,78 @@
+#include "core/pressure.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.hpp"
+
+namespace cranemoor::core {
+
+namespace {
+constexpr std::array<const char*, static_cast<std::size_t>(Txn::Purpose::count)> names = {
+    "other", "accepted", "cancelled", "claims", "ends", "finals", "marks", "sheets"};
+}  // namespace
+
+void Pressure::began(std::uint64_t id, const Txn& txn, double now) {
+    if (!txn.writes.empty()) {
+        open_[id] = {now, txn.writes.size(), txn.spared, txn.purpose,
+                     txn.urgency != Urgency::last};
+    }
+}
+
+void Pressure::ended(std::uint64_t id, StateReply::Status status, double now) {
+    auto it = open_.find(id);
+    if (it == open_.end()) {
+        return;
+    }
+    const Open& o = it->second;
+    if (o.waited_for) {
+        took_s_ += constants::pressure_smooth * (now - o.since - took_s_);
+    }
+    written_[static_cast<std::size_t>(o.purpose)] += o.writes;
+    lost_ += status == StateReply::Status::conflict ? 1 : 0;
+    refused_ += status == StateReply::Status::refused ? 1 : 0;
+    double passed = std::max(0.0, now - rate_at_);
+    rate_ = rate_ * std::exp(-passed / constants::pressure_rate_s) +
+            static_cast<double>(o.writes + o.spared) / constants::pressure_rate_s;
+    rate_at_ = now;
+    open_.erase(it);
+}
+
+double Pressure::write_wait_s(double now) const {
+    double wait = took_s_;
+    for (const auto& [id, o] : open_) {
+        if (o.waited_for) {
+            wait = std::max(wait, now - o.since);
+            break;  // the first one is the oldest
+        }
+    }
+    return wait;
+}
+
+PressureWord Pressure::word(double now) const {
+    double rate = rate_ * std::exp(-std::max(0.0, now - rate_at_) / constants::pressure_rate_s);
+    return {write_wait_s(now), rate};
+}
+
+std::string Pressure::take_words(double now) {
+    double passed = std::max(1e-3, now - words_at_);
+    std::size_t all = 0;
+    std::string by;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        all += written_[i];
+        if (written_[i] > 0) {
+            by += fmt::format("{}{} {}", by.empty() ? "" : ", ", names[i], written_[i]);
+        }
+    }
+    auto words = fmt::format("{:.1f} writes a second ({}), {:.2f} s waited, {} lost to others, {} refused",
+                             static_cast<double>(all) / passed, by, write_wait_s(now), lost_,
+                             refused_);
+    written_ = {};
+    lost_ = refused_ = 0;
+    words_at_ = now;
+    return words;
+}
+
+}  // namespace cranemoor::core
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -193,6 +193,7 @@
 // Confirmed by the cloud: written down, so that every member may take the places as empty.
 void Provisioner::write_gone(const std::set<std::string>& names) {
     Txn txn;
+    txn.purpose = Txn::Purpose::mark;
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, old] : ctx_.jobs.marks()) {
         Marks marks = old;
@@ -266,6 +267,7 @@
     std::erase_if(gone_since_,
                   [&](const auto& g) { return ctx_.jobs.marks().count(g.first) == 0; });
     Txn txn;
+    txn.purpose = Txn::Purpose::mark;
     txn.conditions.push_back(ctx_.epoch_condition());
     for (const auto& [key, marks] : ctx_.jobs.marks()) {
         // Gone as all marks together have it. A record that says so for another one stays as long
@@ -471,8 +473,8 @@
     const MachineType* type = cheapest(s);
     // Nothing is rented for a job that is likely to fail again, unless it finds no room for
     // long: it must have its tries.
-    bool in_doubt = job.doubtful() &&
-                    ctx_.now.steady - waiting.open_since < constants::job_backoff_max_s;
+    bool in_doubt =
+        job.doubtful() && ctx_.now.steady - waiting.open_since < constants::job_backoff_max_s;
     if (type == nullptr || in_doubt) {
         return;
     }
@@ -559,8 +561,7 @@
     int most = 0;
     for (const auto& zone : need.type->zones) {
         int found = 0;
-        for (std::size_t i =
-                 next(plan, need, zone, plan.cursors[{need.demands, need.cheap, zone}]);
+        for (std::size_t i = next(plan, need, zone, plan.cursors[{need.demands, need.cheap, zone}]);
              i < plan.free.size() && found < need.spec->tasks; i = next(plan, need, zone, i + 1)) {
             ++found;
         }
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -67,6 +67,9 @@
 std::string version(const std::string& name) {
     return "c/v/" + safe(name);
 }
+std::string sheet(std::uint64_t member, std::uint64_t number) {
+    return fmt::format("c/s/{}-{}", member, number);
+}
 std::string quota(const std::string& team) {
     return "c/q/" + safe(team);
 }
@@ -200,6 +203,9 @@
     if (block.final) {
         v["final"] = encode(*block.final);
     }
+    if (block.merged > 0) {
+        v["merged"] = block.merged;
+    }
     return v;
 }
 
@@ -218,6 +224,7 @@
     block.stop = v.value("stop", std::uint64_t{0});
     block.fails = v.value("fails", 0);
     block.cancelled_wall = v.value("cancelled", 0.0);
+    block.merged = v.value("merged", Revision{0});
     if (v.contains("final")) {
         block.final = decode_finished(v.at("final"));
     }
@@ -278,6 +285,99 @@
     return slices;
 }
 
+namespace {
+Json encode(const Entry::Ended& ended) {
+    Json list = Json::array();
+    for (const auto& [task, attempt] : ended) {
+        list.push_back(Json::array({task, attempt}));
+    }
+    return list;
+}
+
+Entry::Ended decode_ended(const Json& v) {
+    Entry::Ended ended;
+    for (const auto& each : v) {
+        ended.emplace_back(each.at(0).get<int>(), each.at(1).get<std::uint64_t>());
+    }
+    return ended;
+}
+}  // namespace
+
+// Entries are lists, and zones are told once: what a sheet takes decides how many claims one write
+// holds.
+Json encode(const Sheet& sheet) {
+    std::vector<std::string> zones;
+    Json entries = Json::array();
+    for (const auto& e : sheet.entries) {
+        Json placed = Json::array();
+        for (const auto& [task, p] : e.placed) {
+            auto zone = std::find(zones.begin(), zones.end(), p.zone) - zones.begin();
+            if (zone == static_cast<std::ptrdiff_t>(zones.size())) {
+                zones.push_back(p.zone);
+            }
+            placed.push_back(Json::array({task, p.machine, zone, p.attempt, p.charge}));
+        }
+        entries.push_back(
+            Json::array({e.uid, e.block, e.at, placed, encode(e.done), encode(e.lost)}));
+    }
+    return {{"zones", zones}, {"entries", entries}};
+}
+
+Sheet decode_sheet(const Json& v, Revision revision) {
+    Sheet sheet;
+    sheet.revision = revision;
+    auto zones = v.at("zones").get<std::vector<std::string>>();
+    for (const auto& each : v.at("entries")) {
+        Entry e;
+        e.uid = each.at(0).get<std::string>();
+        e.block = each.at(1).get<int>();
+        e.at = each.at(2).get<Revision>();
+        e.at = e.at == 0 ? revision : e.at;
+        for (const auto& p : each.at(3)) {
+            e.placed[p.at(0).get<int>()] = {
+                p.at(1).get<std::string>(), zones.at(p.at(2).get<std::size_t>()),
+                p.at(3).get<std::uint64_t>(), p.at(4).get<std::uint64_t>()};
+        }
+        e.done = decode_ended(each.at(4));
+        e.lost = decode_ended(each.at(5));
+        sheet.entries.push_back(std::move(e));
+    }
+    return sheet;
+}
+
+Json encode(const admission::Table& table) {
+    Json parts = Json::object();
+    for (const auto& [id, part] : table.parts) {
+        parts[std::to_string(id)] = {{"weight", part.weight}};
+    }
+    return {{"number", table.number}, {"shared", table.shared}, {"parts", parts}};
+}
+
+admission::Table decode_table(const Json& v, Revision revision) {
+    admission::Table table;
+    table.revision = revision;
+    table.number = v.at("number").get<std::uint64_t>();
+    table.shared = v.at("shared").get<bool>();
+    for (const auto& [id, part] : v.at("parts").items()) {
+        table.parts[std::stoull(id)] = {part.at("weight").get<int>()};
+    }
+    return table;
+}
+
+std::size_t bytes_of(const Entry& e) {
+    // ["uid",0,revision,[...],[...],[...]],
+    std::size_t sum = e.uid.size() + constants::entry_frame_bytes;
+    for (const auto& [task, p] : e.placed) {
+        sum += bytes_of(task, p) - p.zone.size();
+    }
+    for (const auto* ended : {&e.done, &e.lost}) {
+        for (const auto& [task, attempt] : *ended) {
+            sum += fmt::formatted_size("[{},{}],", task, attempt);
+        }
+    }
+    return sum;
+}
+
 Json encode(const JobRecord& job) {
     const JobSpec& s = job.spec;
     Json v = {{"uid", s.uid},
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/table.hpp"
 #include "core/types.hpp"
 
 namespace cranemoor::core {
@@ -27,8 +28,11 @@
 std::string page(const std::string& uid, int index);
 // A part of a long list of jobs that one follows.
 std::string follows(const std::string& uid, int part);
-// That the controller of that name has run a version with pages and dependent jobs.
+// Which version the controller of that name has run, see level_now.
 std::string version(const std::string& name);
+// Claims and ends of many jobs.
+std::string sheet(std::uint64_t member, std::uint64_t number);
+inline const std::string table = "c/t";  // what members act on together under pressure
 std::string quota(const std::string& team);
 std::string marks(std::uint64_t member, std::uint64_t number);
 std::string finished(const std::string& uid);
@@ -37,6 +41,10 @@
 // The same on every controller and in every version.
 std::uint64_t stable_hash(const std::string& text);
 
+// What a controller's version understands: from 1 on pages and dependent jobs, from 2 on sheets and
+// the admission table.
+inline constexpr int level_now = 2;
+
 struct Member {
     std::string name;
     std::string zone;
@@ -75,6 +83,9 @@
     double cancelled_wall = 0;      // of a job without a record of its own; 0: it was not
     std::optional<Finished> final;  // of the whole job, in its first block
     int done_total = 0;             // tasks in those ranges
+    // What sheets said of this block up to that revision is in it; 0: nothing.
+    Revision merged = 0;
+    Revision recorded = 0;  // the same of its record
     bool is_done(int task) const;
     int done_count() const { return done_total; }
     void add_done(int task);
@@ -115,6 +126,24 @@
     std::set<std::string> gone;
 };
 
+// What one write of a sheet says of one block: tasks that were claimed, and tasks that have ended.
+struct Entry {
+    std::string uid;
+    int block = 0;
+    Revision at = 0;  // of the write that said it first; 0: of the one that is being made
+    std::map<int, Placement> placed;
+    using Ended = std::vector<std::pair<int, std::uint64_t>>;  // task, attempt
+    Ended done;
+    Ended lost;  // ended without being done
+};
+
+// Claims and ends of many jobs in one record: while writes are short, one for each block would make
+// all work wait. Its entries hold beside the blocks' records until a write of the block takes them in.
+struct Sheet {
+    Revision revision = 0;
+    std::vector<Entry> entries;
+};
+
 // A team's limit as held by members, by member id.
 struct Slices {
     Revision revision = 0;
@@ -131,6 +160,10 @@
     return 2 * (machine.size() + 3);
 }
 Json encode(const Slices& slices);
+Json encode(const Sheet& sheet);
+Json encode(const admission::Table& table);
+// What an entry takes in a sheet at the most.
+std::size_t bytes_of(const Entry& entry);
 Json encode_member(const Member& member);
 Json encode(const JobRecord& job);
 Json encode_follows(const std::vector<std::string>& follows);
@@ -143,6 +176,9 @@
 Finished decode_finished(const Json& value);
 Marks decode_marks(const Json& value);
 Slices decode_slices(const Json& value);
+// revision: of the record, for what it says for the first time
+Sheet decode_sheet(const Json& value, Revision revision);
+admission::Table decode_table(const Json& value, Revision revision);
 Member decode_member(const Json& value);
 JobRecord decode_job(const Json& value);
 std::vector<std::string> decode_follows(const Json& value);
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -356,10 +356,15 @@
 // of several blocks has a record of its own, since claims on its blocks don't see each other, and
 // so has one that waits for others, which is written again when they are done.
 void Requests::write_accepted() {
-    while (!accepting_.empty() && accepts_open_ < constants::accepts_open) {
+    const auto& table = ctx_.jobs.table();
+    bool gather = table && table->shared;  // writes are short
+    while (!accepting_.empty() && accepts_open_ < constants::accepts_open &&
+           (!gather || ctx_.now.steady >= next_accept_)) {
+        next_accept_ = ctx_.now.steady + constants::accepts_every_s;
         std::vector<Acceptance> batch;
         Txn txn;
         txn.urgency = Urgency::first;
+        txn.purpose = Txn::Purpose::accept;
         txn.conditions.push_back(ctx_.epoch_condition());
         Json jobs = Json::array();
         std::size_t room =
@@ -564,6 +569,7 @@
     double when = std::max(1.0, ctx_.now.wall);
     Txn txn;
     txn.urgency = Urgency::first;
+    txn.purpose = Txn::Purpose::cancel;
     txn.conditions = ctx_.jobs.alive(*job);
     txn.conditions.push_back(ctx_.epoch_condition());
     JobRecord record = job->record();
@@ -601,6 +607,7 @@
 
 void Requests::tick() {
     check();
+    write_accepted();
     if (ctx_.now.steady >= next_prune_) {
         next_prune_ = ctx_.now.steady + constants::count_prune_s;
         std::erase_if(counts_, [&](const auto& c) { return ctx_.now.steady >= c.second.until; });
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -105,6 +105,7 @@
     std::deque<Acceptance> accepting_;
     std::set<std::string> on_way_;  // accepted here, not yet in the copy
     std::size_t accepts_open_ = 0;  // records of accepted jobs on their way
+    double next_accept_ = 0;        // while writes are short
     std::uint64_t accepted_records_ = 0;
     std::unordered_map<std::string, Count> counts_;  // by job
     double next_prune_ = 0;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -203,13 +203,17 @@
         if (blocks_open_ >= constants::claim_blocks_open) {
             return false;
         }
-        double stagger = constants::home_stagger_s * static_cast<double>(waiting.turn);
-        if (ctx_.now.steady - waiting.open_since >= stagger) {
+        bool shared = sheets_.shared(*waiting.job);
+        double stagger = shared ? 0 : constants::home_stagger_s * static_cast<double>(waiting.turn);
+        bool theirs = shared && waiting.job->block_count() == 1 &&
+                      !sheets_.may_claim(*waiting.job, 0);
+        if (!theirs && ctx_.now.steady - waiting.open_since >= stagger) {
             walk(round, waiting);
         }
         return true;
     });
     send_batch();
+    send_sheet();
 }
 
 void Scheduler::skip(Wait& wait, const std::string& uid) {
@@ -348,12 +352,19 @@
     for (int k = 0; k < job.block_count(); ++k) {
         const Block& now = job.block(k);
         int open = job.block_last(k) - job.block_first(k) + 1 - now.done_count();
-        if (open == static_cast<int>(now.placed.size()) || ctx_.busy.count(job.block_key(k)) != 0) {
+        if (open == static_cast<int>(now.placed.size()) ||
+            ctx_.busy.count(job.block_key(k)) != 0 || !sheets_.may_claim(job, k)) {
             continue;
         }
+        bool shared = sheets_.shared(job);
+        if (shared && sheets_open_ >= constants::sheets_open) {
+            break;  // what is on its way goes first
+        }
         // The record is written whole: ends that wait to be told go with it.
         Block next = now;
-        fleet_.outcomes().enter(job, k, next);
+        if (!shared) {
+            fleet_.outcomes().enter(job, k, next);
+        }
         next.attempt++;
         std::size_t bytes = bytes_of(next);
         std::vector<std::pair<int, Offer*>> places;
@@ -404,8 +415,10 @@
             used.insert(choice->offer);
             places.emplace_back(t, choice->offer);
         }
+        bool to_sheet = shared && places.size() < constants::sheet_claim_tasks;
+        Txn& txn = to_sheet ? sheet_.txn : batch_.txn;
         while (!places.empty() &&
-               !quota_.cover(s.team, s.each * static_cast<double>(places.size()), batch_.txn)) {
+               !quota_.cover(s.team, s.each * static_cast<double>(places.size()), txn)) {
             places.back().second->room += s.each;
             places.pop_back();
         }
@@ -423,7 +436,11 @@
             offer->images.push_back(image);
         }
         claimed += places.size();
-        add_claim(job, {{k, next}}, machines, static_cast<int>(places.size()));
+        if (to_sheet) {
+            add_to_sheet(job, k, next, machines);
+        } else {
+            add_claim(job, {{k, next}}, machines, static_cast<int>(places.size()));
+        }
         if (job.page_size > 0 && (s.spread || s.together)) {
             break;  // the next page's places depend on these
         }
@@ -585,12 +602,10 @@
     }
     Claim claim;
     for (const auto& [k, b] : blocks) {
-        auto key = job.block_key(k);
-        claim.key = key;
+        claim.key = job.block_key(k);
         claim.revision = job.block(k).revision;
         job.add_block(k, b, txn);
-        ctx_.busy.insert(key);
-        batch_.blocks.push_back(key);
+        batch_.blocks.push_back(claim.key);
         ++blocks_open_;
     }
     if (job.page_size > 0 && (job.spec.spread || job.spec.together)) {
@@ -601,22 +616,76 @@
             }
         }
     }
+    note_claim(batch_, job, std::move(claim), machines, tasks);
+    // The next claim may bring a block and a quota record.
+    if (batch_.blocks.size() >= constants::claim_blocks || txn.writes.size() + 2 > ctx_.ops_max() ||
+        txn.conditions.size() + constants::claim_conditions > ctx_.conditions_max()) {
+        send_batch();
+    }
+}
+
+// A claim beside its block's record, which stays as it is: whatever is written to that one comes
+// either before the claim, which then fails, or knows of it.
+void Scheduler::add_to_sheet(const Job& job, int k, const Block& next,
+                             const std::vector<std::string>& machines) {
+    Entry entry;
+    entry.uid = job.spec.uid;
+    entry.block = k;
+    for (const auto& [task, place] : next.placed) {
+        if (job.block(k).placed.count(task) == 0) {
+            entry.placed[task] = place;
+        }
+    }
+    auto tasks = static_cast<int>(entry.placed.size());
+    std::size_t bytes = bytes_of(entry);
+    if (!sheet_.entries.empty() && sheet_.bytes + bytes > sheets_.room()) {
+        send_sheet();
+    }
+    Txn& txn = sheet_.txn;
+    for (auto& condition : ctx_.jobs.alive(job)) {
+        txn.conditions.push_back(std::move(condition));
+    }
+    txn.conditions.push_back({job.block_key(k), job.block(k).revision});
+    sheet_.blocks.push_back(job.block_key(k));
+    sheet_.bytes += bytes;
+    sheet_.entries.push_back(std::move(entry));
+    note_claim(sheet_, job, {}, machines, tasks);
+    // The epoch, the table, the sheet itself, and the next claim.
+    if (txn.conditions.size() + 3 + constants::claim_conditions > ctx_.conditions_max() ||
+        txn.writes.size() + 2 > ctx_.ops_max()) {
+        send_sheet();
+    }
+}
+
+// Keeps what a claim takes reserved until its outcome is known.
+void Scheduler::note_claim(Batch& batch, const Job& job, Claim claim,
+                           const std::vector<std::string>& machines, int tasks) {
+    ctx_.busy.insert(batch.blocks.begin(), batch.blocks.end());
     for (const auto& name : machines) {
         reserved_[name] += job.spec.each;
-        batch_.places.emplace_back(name, job.spec.each);
+        batch.places.emplace_back(name, job.spec.each);
     }
     claim.epoch = ctx_.jobs.revision_of(keys::epoch);
     claim.team = job.spec.team;
     claim.amount = job.spec.each * tasks;
     quota_.reserve(claim.team, claim.amount);
-    batch_.claims.push_back(claim);
+    batch.claims.push_back(std::move(claim));
     std::set<std::string> distinct(machines.begin(), machines.end());
     ctx_.info("claim {} tasks {} on {}", job.spec.uid, tasks, fmt::join(distinct, ","));
-    // The next claim may bring a block and a quota record.
-    if (batch_.blocks.size() >= constants::claim_blocks || txn.writes.size() + 2 > ctx_.ops_max() ||
-        txn.conditions.size() + constants::claim_conditions > ctx_.conditions_max()) {
-        send_batch();
+}
+
+// The machines of a batch, whose answers wait for it.
+std::set<std::string> Scheduler::expect(const Batch& batch) {
+    std::set<std::string> machines;
+    for (const auto& [name, amount] : batch.places) {
+        machines.insert(name);
+    }
+    for (const auto& name : machines) {
+        if (Machine* m = fleet_.find(name)) {
+            m->claims++;
+        }
     }
+    return machines;
 }
 
 void Scheduler::send_batch() {
@@ -625,62 +694,81 @@
         return;
     }
     batch.txn.conditions.push_back(ctx_.epoch_condition());
+    batch.txn.conditions.push_back(sheets_.table_condition());
+    batch.txn.purpose = Txn::Purpose::claim;
     // A machine that is marked meanwhile starts nothing any more: every copy that holds a claim
     // made after the mark holds the mark as well, and the claim is taken back.
-    std::set<std::string> machines;
-    for (const auto& [name, amount] : batch.places) {
-        machines.insert(name);
+    auto machines = expect(batch);
+    Txn txn = std::move(batch.txn);
+    ctx_.txn(std::move(txn), [this, batch, machines](const StateReply& r) {
+        settle(batch, machines, r, [this, blocks = batch.blocks.size()] { blocks_open_ -= blocks; });
+    });
+}
+
+void Scheduler::send_sheet() {
+    Batch batch = std::exchange(sheet_, {});
+    if (batch.claims.empty()) {
+        return;
     }
-    for (const auto& name : machines) {
-        if (Machine* m = fleet_.find(name)) {
-            m->claims++;
-        }
+    Condition where = sheets_.target();
+    for (auto& claim : batch.claims) {
+        claim.key = where.key;
+        claim.revision = where.revision;
     }
+    batch.txn.conditions.push_back(sheets_.table_condition());
+    auto machines = expect(batch);
+    ++sheets_open_;
+    auto entries = std::move(batch.entries);
     Txn txn = std::move(batch.txn);
-    ctx_.txn(std::move(txn), [this, batch, machines](const StateReply& r) {
-        auto over = [this, batch, machines] {
-            blocks_open_ -= batch.blocks.size();
-            for (const auto& key : batch.blocks) {
-                ctx_.busy.erase(key);
-            }
-            for (const auto& [name, amount] : batch.places) {
-                Resources& left = reserved_[name];
-                left -= amount;
-                if (left.cpus < Resources::slack) {
-                    reserved_.erase(name);
-                }
-            }
-            for (const auto& name : machines) {
-                Machine* m = fleet_.find(name);
-                if (m != nullptr) {
-                    m->claims--;
-                    fleet_.settle(*m);
-                }
-            }
-        };
-        auto release = [this, batch] {
-            for (const auto& c : batch.claims) {
-                quota_.release(c.team, c.amount);
+    sheets_.write(std::move(entries), std::move(txn), [this, batch, machines](const StateReply& r) {
+        settle(batch, machines, r, [this] { --sheets_open_; });
+    });
+}
+
+void Scheduler::settle(const Batch& batch, const std::set<std::string>& machines,
+                       const StateReply& r, std::function<void()> counted) {
+    auto over = [this, batch, machines, counted = std::move(counted)] {
+        counted();
+        for (const auto& key : batch.blocks) {
+            ctx_.busy.erase(key);
+        }
+        for (const auto& [name, amount] : batch.places) {
+            Resources& left = reserved_[name];
+            left -= amount;
+            if (left.cpus < Resources::slack) {
+                reserved_.erase(name);
             }
-        };
-        if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
-            if (r.status == StateReply::Status::conflict) {
-                ctx_.debug("claims lost to other changes of {}", fmt::join(r.failed, ","));
+        }
+        for (const auto& name : machines) {
+            Machine* m = fleet_.find(name);
+            if (m != nullptr) {
+                m->claims--;
+                fleet_.settle(*m);
             }
-            ctx_.when_at(r.revision, [release, over] {
-                release();
-                over();
-            });
-        } else if (r.status == StateReply::Status::unknown) {
-            // It may still be executed, for as long as its conditions hold: its amount stays
-            // reserved until the records have moved on.
-            unknown_.insert(unknown_.end(), batch.claims.begin(), batch.claims.end());
-            over();
-        } else {
+        }
+    };
+    auto release = [this, batch] {
+        for (const auto& c : batch.claims) {
+            quota_.release(c.team, c.amount);
+        }
+    };
+    if (r.status == StateReply::Status::ok || r.status == StateReply::Status::conflict) {
+        if (r.status == StateReply::Status::conflict) {
+            ctx_.debug("claims lost to other changes of {}", fmt::join(r.failed, ","));
+        }
+        ctx_.when_at(r.revision, [release, over] {
             release();
             over();
-        }
-    });
+        });
+    } else if (r.status == StateReply::Status::unknown) {
+        // It may still be executed, for as long as its conditions hold: its amount stays
+        // reserved until the records have moved on.
+        unknown_.insert(unknown_.end(), batch.claims.begin(), batch.claims.end());
+        over();
+    } else {
+        release();
+        over();
+    }
 }
 
 // The first gang in its team's order holds the machines of ours that will be empty soonest, for
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -17,13 +17,20 @@
 #include "core/flows.hpp"
 #include "core/membership.hpp"
 #include "core/quota.hpp"
+#include "core/sheets.hpp"
 
 namespace cranemoor::core {
 
 class Scheduler {
   public:
-    Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota, const Flows& flows)
-        : ctx_(ctx), members_(members), fleet_(fleet), quota_(quota), flows_(flows) {}
+    Scheduler(Context& ctx, Membership& members, Fleet& fleet, Quota& quota, const Flows& flows,
+              Sheets& sheets)
+        : ctx_(ctx),
+          members_(members),
+          fleet_(fleet),
+          quota_(quota),
+          flows_(flows),
+          sheets_(sheets) {}
 
     void epoch_changed();
     // touched: jobs that changed
@@ -70,6 +77,8 @@
         std::vector<std::string> blocks;
         std::vector<std::pair<std::string, Resources>> places;  // machine, amount
         std::vector<Claim> claims;
+        std::vector<Entry> entries;  // for a sheet
+        std::size_t bytes = 0;       // of them
     };
 
     // A machine with room in this round.
@@ -127,6 +136,15 @@
     bool slow_fetch(const Offer& offer, int image) const;
     double longest_pass(const Machine& m, const JobSpec& spec, bool fetch_waits) const;
     void send_batch();
+    void send_sheet();
+    // counted: takes the batch out of those on their way
+    void settle(const Batch& batch, const std::set<std::string>& machines, const StateReply& reply,
+                std::function<void()> counted);
+    std::set<std::string> expect(const Batch& batch);
+    void note_claim(Batch& batch, const Job& job, Claim claim,
+                    const std::vector<std::string>& machines, int tasks);
+    void add_to_sheet(const Job& job, int block, const Block& next,
+                      const std::vector<std::string>& machines);
     double rank(const Offer& offer, const Job& job) const;
     bool cheap_coming(Round& round, const Offer& offer, const Flows::Waiting& waiting) const;
     bool better_elsewhere(Round& round, const Offer& offer, const Flows::Waiting& waiting) const;
@@ -140,12 +158,15 @@
     Fleet& fleet_;
     Quota& quota_;
     const Flows& flows_;
+    Sheets& sheets_;
     std::unordered_map<std::string, Wait> waits_;  // by job
     std::vector<std::string> skipped_;             // jobs that let machines pass in the last round
-    std::map<std::string, Hold> holds_;          // by machine
-    std::map<std::string, Resources> reserved_;  // by machine, claims under way
+    std::map<std::string, Hold> holds_;            // by machine
+    std::map<std::string, Resources> reserved_;    // by machine, claims under way
     std::vector<Claim> unknown_;
     Batch batch_;
+    Batch sheet_;
+    std::size_t sheets_open_ = 0;               // sheets with claims on their way
     std::size_t blocks_open_ = 0;               // claims on their way to the records
     std::map<std::string, double> held_since_;  // gangs that machines are held for
     double last_round_ = 0;
--- /dev/null
+++ b/src/core/sheets.hpp
@@ -0,0 +1,54 @@
+// Sheets: claims and ends of many jobs in one record, while the admission table says that writes are
+// short. Each block of a job then has one member that claims from it, its home: claims in different
+// records can't tell of each other otherwise.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/context.hpp"
+
+namespace cranemoor::core {
+
+class Sheets {
+  public:
+    explicit Sheets(Context& ctx) : ctx_(ctx) {}
+
+    // Whether claims and ends of that job go into sheets.
+    bool shared(const Job& job) const;
+    // Whether this member may claim from a block of the job.
+    bool may_claim(const Job& job, int block) const;
+    // On which every claim depends: the table says who may make it.
+    Condition table_condition() const;
+
+    // bytes of new entries that one write takes, see bytes_of
+    std::size_t room() const;
+    // The record that the next write goes to, as it is now.
+    Condition target() const;
+    // Adds the entries to that record, with whatever else the transaction changes. `over` is called
+    // with the answer; until the copy shows the outcome the record is left alone.
+    void write(std::vector<Entry> entries, Txn txn, std::function<void(const StateReply&)> over);
+    // Removes records that nobody needs any more.
+    void tick();
+
+  private:
+    using Members = std::vector<std::pair<std::uint64_t, int>>;
+    const Members& members(const std::optional<std::string>& zone) const;
+    std::size_t frame() const;
+    std::size_t most() const;
+    std::size_t kept_bytes(const std::string& key) const;
+    bool retired(const std::string& key) const;
+
+    Context& ctx_;
+    std::set<std::string> open_;  // records with a write under way
+    bool retiring_ = false;
+    double next_retire_ = 0;
+    // Members and their weights, of all zones and by zone, as of an epoch and a table.
+    mutable std::map<std::string, Members> members_;
+    mutable Revision members_epoch_ = 0;
+    mutable Revision members_table_ = 0;
+};
+
+}  // namespace cranemoor::core
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -108,7 +108,8 @@
         back_.reply(request, 400, "");
         return;
     }
-    controller_.peer_word(loop_.now(), message->from, message->state_contact, message->rentals);
+    controller_.peer_word(loop_.now(), message->from, message->state_contact, message->rentals,
+                          message->pressure);
     if (message->relay) {
         controller_.report(loop_.now(), request, *message->relay, true);
     } else {
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -677,6 +677,10 @@
                                 {"open", r.open},
                                 {"machines", r.machines}});
     }
+    if (call.pressure) {
+        v["pressure"] = {{"write_wait_s", call.pressure->write_wait_s},
+                         {"writes", call.pressure->writes}};
+    }
     return encode(v);
 }
 
@@ -730,6 +734,13 @@
         }
         m.rentals = std::move(*words);
     }
+    if (!f.null("pressure")) {
+        Fields p(value->at("pressure"));
+        m.pressure = {p.amount("write_wait_s"), p.amount("writes")};
+        if (!p.ok()) {
+            return std::nullopt;
+        }
+    }
     return m;
 }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -51,6 +51,7 @@
     bool state_contact = false;
     std::optional<core::Report> relay;
     std::vector<core::RentalWord> rentals;
+    std::optional<core::PressureWord> pressure;
 };
 std::string peer_body(const std::string& from, const core::PeerCall& call);
 std::optional<PeerMessage> read_peer(const std::string& body);
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -1323,8 +1323,12 @@
     w.late_txn = 0.03;
     w.slow = 0.02;
     std::vector<std::string> jobs;
+    bool sharing = GetParam() % 3 == 0;
     for (int step = 0; step < 120; ++step) {
         int node = pick(3);
+        if (sharing && pick(5) == 0) {
+            w.set_table(pick(4) != 0, {1 + pick(3), 1 + pick(3), 1 + pick(3)});
+        }
         if (step == 60) {
             w.value_kb = w.settings.state_value_kb;
             w.txn_ops = w.settings.state_txn_ops;
--- a/tests/tools_test.py
+++ b/tests/tools_test.py
@@ -64,7 +64,7 @@
 
     def test_in_time_is_the_loosest_wait_that_the_aims_name(self):
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as site:
-            site.write('[[targets]]\nkind = "wait"\nclass = "sweep"\nwithin_s = 5.0\n'
+            site.write('warmup_s = 1.0\n[[targets]]\nkind = "wait"\nclass = "sweep"\nwithin_s = 5.0\n'
                        '[[targets]]\nkind = "wait"\nclass = "sweep"\nwithin_s = 25.0\n'
                        '[[targets]]\nkind = "finished"\nclass = "sweep"\nwithin_s = 90.0\n')
             site.flush()
@@ -85,7 +85,8 @@
 
 class Regress(unittest.TestCase):
     def test_a_row_that_was_hardly_served_is_a_failure(self):
-        found, _ = served.read(open(LOG, encoding="utf-8"))
+        with open(LOG, encoding="utf-8") as log:
+            found, _ = served.read(log)
         bad = regress.hardly_served("site day 1", found, 100.0, 30.0)
         self.assertTrue(any("sweep of red" in line for line in bad))
         self.assertFalse(any("class desk" in line for line in bad))
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -190,6 +190,20 @@
     changed(key, value);
 }
 
+void World::set_table(bool shared, const std::vector<int>& weights) {
+    const Json* old = stored("c/t");
+    const Json* epoch = stored("c/epoch");
+    Json parts = Json::object();
+    std::size_t i = 0;
+    for (const auto& m : epoch != nullptr ? epoch->at("members") : Json::array()) {
+        int weight = i < weights.size() ? weights[i] : 1;
+        parts[std::to_string(m.at("id").get<std::uint64_t>())] = {{"weight", weight}};
+        ++i;
+    }
+    std::uint64_t number = old != nullptr ? old->at("number").get<std::uint64_t>() + 1 : 1;
+    store("c/t", {{"number", number}, {"shared", shared}, {"parts", parts}});
+}
+
 void World::drop(const std::string& key) {
     if (kv_.erase(key) != 0) {
         ++tide_;
@@ -794,7 +808,8 @@
     int other = nodes_[static_cast<std::size_t>(to)].generation;
     after(delay(), [=, this] {
         to_node(to, other, [&](Controller& c) {
-            c.peer_word(time(), "n" + std::to_string(i), call.state_contact, call.rentals);
+            c.peer_word(time(), "n" + std::to_string(i), call.state_contact, call.rentals,
+                        call.pressure);
             if (call.relay) {
                 std::uint64_t request = ++next_request_;
                 worker_done_[request] = [=, this](const WorkerReply& reply) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -85,6 +85,9 @@
     // Keys below a prefix.
     std::vector<std::string> keys(const std::string& prefix) const;
     void store(const std::string& key, const Json& value);
+    // Writes the admission table as a leading member would: whether records are shared, and the
+    // weights of the members in the order of the epoch.
+    void set_table(bool shared, const std::vector<int>& weights = {});
     // Knows a job that is only in the records.
     void know(const JobSpec& spec) { specs_.try_emplace(spec.uid, spec); }
     bool is_service(const std::string& uid) const {
