--- a/src/core/accord.cpp
+++ b/src/core/accord.cpp
@@ -108,9 +108,8 @@
     next_write_ = ctx_.now.steady + constants::table_every_s;
     ctx_.info("admission table {}: records {}", next.number,
               next.shared ? "shared, writes are short" : "by block again");
-    ctx_.txn(std::move(txn), [this](const StateReply& r) {
-        ctx_.when_settled(r, [this] { writing_ = false; });
-    });
+    ctx_.txn(std::move(txn),
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { writing_ = false; }); });
 }
 
 }  // namespace cranemoor::core
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -215,6 +215,9 @@
 inline constexpr double relay_window_s = 5.25;
 // s between looks at every machine
 inline constexpr double sweep_every_s = 0.5;
+// s between looks for what is remembered of tasks and jobs that are no more: it harms nobody, and a
+// look visits every task
+inline constexpr double forget_every_s = 10.0;
 // machines taken over whose token is raised in one tick
 inline constexpr int raise_per_tick = 20;
 // s the ends of an array's tasks are collected for one write: nothing waits for them, and each
@@ -223,6 +226,8 @@
 // s the ends of a cancelled job's tasks are collected: its workers report them within half a
 // second of the stop
 inline constexpr double outcome_soon_s = 1.0;
+// s between looks at all ends that wait, for those whose time has come
+inline constexpr double ends_look_s = 0.5;
 // blocks whose ends are on their way to the records at the most: about what the write limit lets
 // through in the time of an answer when it is short
 inline constexpr std::size_t ends_open = 6;
@@ -285,6 +290,10 @@
 inline constexpr double fleet_word_every_s = 10.0;
 // s between provisioning decisions
 inline constexpr double provision_every_s = 0.5;
+// jobs that wait from which on decisions come less often, and how many times less often at the
+// most: a machine takes as long as half a minute to come, so seconds still don't matter
+inline constexpr double plan_jobs = 300;
+inline constexpr double plan_rarely = 6;
 // s looked back to tell how often whole machines are asked for
 inline constexpr double arrivals_s = 120.0;
 // standard deviations of the machines asked for during a boot that are kept empty: as many as
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -221,7 +221,6 @@
         // The worker gave up on the earlier report; nobody reads its answer.
         refuse(*m.request, 503);
         m.request.reset();
-        asking_.erase(m.name);
     }
     if (const Mark* mark = ctx_.jobs.mark(r.machine); mark != nullptr && mark->gone) {
         refuse(request, 503);
@@ -234,7 +233,10 @@
     m.request = request;
     m.considered = false;
     m.held = false;
-    asking_.insert(m.name);
+    if (!m.asking) {
+        m.asking = true;
+        asking_.push_back(&m);
+    }
     if (r.token == ctx_.token && !m.adopted) {
         m.adopted = true;
         ctx_.info("machine {}: adopted in session {} with {} tasks", m.name, m.session,
@@ -437,7 +439,6 @@
     WorkerReply reply;
     reply.request = *m.request;
     m.request.reset();
-    asking_.erase(m.name);
     if (!members_.may_answer_workers() || !m.mine) {
         reply.status = m.mine ? 503 : 421;
         ctx_.out.emplace_back(reply);
@@ -488,13 +489,20 @@
 }
 
 void Fleet::settle_answers() {
-    auto asking = asking_;
-    for (const auto& name : asking) {
-        Machine* m = find(name);
-        if (m != nullptr && !(m->held && ctx_.now.steady < m->answer_by)) {
+    // Those that were answered otherwise leave the list here: until then they stay known, see
+    // over().
+    std::size_t kept = 0;
+    for (std::size_t i = 0; i < asking_.size(); ++i) {
+        Machine* m = asking_[i];
+        if (m->request && !(m->held && ctx_.now.steady < m->answer_by)) {
             settle(*m);
         }
+        m->asking = m->request.has_value();
+        if (m->asking) {
+            asking_[kept++] = m;
+        }
     }
+    asking_.resize(kept);
 }
 
 void Fleet::settle(Machine& m) {
@@ -859,6 +867,9 @@
         touch_image(m, job->spec.image, job->spec.image_gb);
     }
     for (const auto& name : ctx_.jobs.take_touched_machines()) {
+        if (members_.leading()) {
+            conclude_gone(name);
+        }
         Machine* m = find(name);
         if (m == nullptr) {
             continue;
@@ -886,19 +897,16 @@
             return true;
         });
     }
-    if (members_.leading()) {
-        conclude_gone();
-    }
 }
 
 // The cloud's answer to a release is the proof that everything on the machine has ended.
-void Fleet::conclude_gone() {
-    for (const auto& [key, marks] : ctx_.jobs.marks()) {
-        for (const auto& name : marks.gone) {
-            for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
-                outcomes_.add(id, {on.place->attempt, false, "machine gone", name, false});
-            }
-        }
+void Fleet::conclude_gone(const std::string& name) {
+    const Mark* mark = ctx_.jobs.mark(name);
+    if (mark == nullptr || !mark->gone) {
+        return;
+    }
+    for (const auto& [id, on] : ctx_.jobs.on_machine(name)) {
+        outcomes_.add(id, {on.place->attempt, false, "machine gone", name, false});
     }
 }
 
@@ -909,7 +917,6 @@
         next_sweep_ = ctx_.now.steady + constants::sweep_every_s;
         sweep();
     }
-    fence_cancelled();
     outcomes_.flush();
     settle_answers();
 }
@@ -917,8 +924,13 @@
 // Looks at every machine: the silent, the faulty, the failed, and those that are no more.
 void Fleet::sweep() {
     forget_old();
+    fence_cancelled();
     if (members_.leading()) {
-        conclude_gone();  // also of claims that came after the machine's end
+        for (const auto& [key, marks] : ctx_.jobs.marks()) {
+            for (const auto& name : marks.gone) {
+                conclude_gone(name);  // also of claims that came after the machine's end
+            }
+        }
     }
     Silence silence = count_silent();
     for (auto it = machines_.begin(); it != machines_.end();) {
@@ -966,6 +978,10 @@
 }
 
 void Fleet::forget_old() {
+    if (ctx_.now.steady < next_forget_) {
+        return;
+    }
+    next_forget_ = ctx_.now.steady + constants::forget_every_s;
     std::erase_if(placed_at_,
                   [&](const auto& entry) { return ctx_.jobs.placement(entry.first) == nullptr; });
     std::erase_if(sent_home_, [&](const auto& s) {
@@ -1020,7 +1036,7 @@
     bool placed = !ctx_.jobs.on_machine(m.name).empty();
     if (mark != nullptr && mark->gone) {
         m.gone = true;
-    } else if (m.gone && mark == nullptr && !m.request) {
+    } else if (m.gone && mark == nullptr && !m.asking) {
         if (!placed) {
             return true;  // its mark was retired
         }
@@ -1030,7 +1046,7 @@
         m.address.clear();
     }
     double heard = std::max(m.last_report, m.owned_since);
-    return !placed && mark == nullptr && !m.request &&
+    return !placed && mark == nullptr && !m.asking &&
            ctx_.now.steady - heard > constants::gone_mark_s &&
            ctx_.now.steady - m.listed_at > constants::gone_mark_s;
 }
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -59,6 +59,7 @@
 
     // the report that waits for its answer
     std::optional<std::uint64_t> request;
+    bool asking = false;  // in the list of those that wait, or of those just answered
     double answer_by = 0;
     int claims = 0;           // claims under way for it
     bool considered = false;  // a round of the scheduler has seen it since that report
@@ -142,7 +143,7 @@
     bool vacated(const Machine& m) const;
     const Outcomes& outcomes() const { return outcomes_; }
     GangStops& gang_stops() { return gang_stops_; }
-    void conclude_gone();
+    void conclude_gone(const std::string& machine);
 
   private:
     // What this process makes of a job's failures, which stand in its blocks.
@@ -197,7 +198,7 @@
     std::map<std::string, Machine> machines_;
     std::vector<MachineType> types_;
     mutable std::unordered_map<std::string, int> image_numbers_;
-    std::set<std::string> asking_;  // machines whose report waits for its answer
+    std::vector<Machine*> asking_;  // machines whose report waits for its answer
     std::map<std::string, Failures> failures_;
     std::map<TaskId, double> placed_at_;
     // submission time and machines of such jobs
@@ -207,6 +208,7 @@
     std::map<std::pair<std::string, bool>, std::set<std::string>> to_mark_;  // by why and fence
     std::set<std::string> cut_zones_;
     double next_sweep_ = 0;
+    double next_forget_ = 0;
     double last_direct_ = -1e9;  // report of a machine of ours, from itself
     // When a worker was last sent to its owner, and when first to this one.
     struct Sent {
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -155,7 +155,8 @@
     const Resources& used_on(const std::string& machine) const;
     // placements that appeared since the last call, for the image estimate
     std::vector<std::pair<TaskId, Placement>> take_new_placements();
-    // What the newest version understood that the controller of that name has ever run, see level_now.
+    // What the newest version understood that the controller of that name has ever run, see
+    // level_now.
     int level(const std::string& name) const {
         auto it = levels_.find(keys::version(name));
         return it == levels_.end() ? 0 : it->second;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -184,8 +184,8 @@
     txn.conditions = {ctx_.epoch_condition()};
     txn.writes = {{keys::epoch, encode(next)}, {key, encode_member(me), lease_}};
     if (ctx_.jobs.level(ctx_.settings.name) < level_now) {
-        txn.writes.push_back({keys::version(ctx_.settings.name),
-                              Json{{"name", me.name}, {"level", level_now}}});
+        txn.writes.push_back(
+            {keys::version(ctx_.settings.name), Json{{"name", me.name}, {"level", level_now}}});
     }
     ctx_.txn(txn, [this](const StateReply& r) {
         auto again = [this] {
--- a/src/core/outcomes.cpp
+++ b/src/core/outcomes.cpp
@@ -140,7 +140,7 @@
 std::vector<Outcomes::Ready> Outcomes::look_through() {
     std::vector<Ready> ready;
     bool all = ctx_.now.steady >= next_look_;
-    next_look_ = all ? ctx_.now.steady + constants::round_every_s : next_look_;
+    next_look_ = all ? ctx_.now.steady + constants::ends_look_s : next_look_;
     for (auto it = pending_.begin(); it != pending_.end();) {
         const auto& [uid, k] = it->first;
         auto& pending = it->second;
@@ -281,8 +281,7 @@
 }
 
 // Adds the ends of one block's tasks to a transaction, if it takes them now.
-bool Outcomes::add_ends(const Which& which, Txn& txn,
-                        std::vector<std::string>& taken) {
+bool Outcomes::add_ends(const Which& which, Txn& txn, std::vector<std::string>& taken) {
     const auto& [uid, k] = which;
     const Job& job = *ctx_.jobs.find(uid);
     auto key = job.block_key(k);
--- a/src/core/outcomes.hpp
+++ b/src/core/outcomes.hpp
@@ -68,7 +68,7 @@
     bool sheet_open_ = false;
     double next_sheet_ = 0;
     std::map<Which, Pending> pending_;
-    double next_look_ = 0;  // at all of them
+    double next_look_ = 0;       // at all of them
     std::size_t ends_open_ = 0;  // blocks whose ends are on their way to the records
 };
 
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -130,6 +130,14 @@
     return !pause && quota_.within_limit(s.team, s.each);
 }
 
+// Whether a task of the block may run on the machine once there is room. Room made for one job
+// serves no second one.
+bool Preemption::may_serve(const Job& job, int block, const Machine& m) const {
+    return m.up() && !m.notice_until && !m.marking && !m.gone && scheduler_.allowed(job, m) &&
+           ctx_.jobs.mark(m.name) == nullptr && !scheduler_.held_for_other(m.name, job.spec.uid) &&
+           Scheduler::spread_room(job, block, m.zone) > 0;
+}
+
 // Stops what loses least, where it helps the job most.
 void Preemption::make_room(const Flows::Waiting& waiting) {
     const Job& job = *waiting.job;
@@ -145,24 +153,24 @@
     bool room = false;
     bool local_room = false;
     std::optional<Victims> best;
+    bool fetch_counts = s.priority == Priority::production && s.image_gb > 0;
     for (auto& [name, m] : fleet_.machines()) {
-        bool ok = m.up() && !m.notice_until && !m.marking && !m.gone &&
-                  ctx_.jobs.mark(name) == nullptr && scheduler_.allowed(job, m);
-        // Room made for one job serves no second one.
-        ok = ok && !scheduler_.held_for_other(name, s.uid);
-        if (!ok) {
-            continue;
-        }
+        bool fits = s.each.fits_in(fleet_.room(m));
         bool local = Fleet::has_image(m, image);
-        if (Scheduler::spread_room(job, block, m.zone) == 0) {
+        // Most machines are left out by what costs least to see.
+        bool better = m.mine && (!best || local || !best->local);
+        if (!(fits || better) || !may_serve(job, block, m)) {
             continue;
         }
-        if (s.each.fits_in(fleet_.room(m))) {
+        if (fits) {
             room = true;
             local_room = local_room || local;
+            if (local_room || !fetch_counts) {
+                return;
+            }
             continue;
         }
-        if (!m.mine || !fleet_.usable(m)) {
+        if (!fleet_.usable(m)) {
             continue;
         }
         auto v = victims_on(m, job, waited);
@@ -173,8 +181,8 @@
     }
     // Room without the image costs a production job its fetch time: less than that is lost
     // by stopping a newer, lower task where the image is.
-    bool fetch_hurts = s.priority == Priority::production && best && best->local && s.image_gb > 0;
-    if (!best || local_room || (room && !fetch_hurts)) {
+    bool fetch_hurts = fetch_counts && best && best->local;
+    if (!best || (room && !fetch_hurts)) {
         return;
     }
     Machine& m = *best->machine;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -41,6 +41,7 @@
 
     void look();
     bool may_look(const Flows::Waiting& waiting) const;
+    bool may_serve(const Job& job, int block, const Machine& m) const;
     void make_room(const Flows::Waiting& waiting);
     void stop(Machine& m, const Job& job, const TaskId& id);
     bool may_preempt(const Job& job, const Job& victim, double waited) const;
--- a/src/core/pressure.cpp
+++ b/src/core/pressure.cpp
@@ -16,8 +16,7 @@
 
 void Pressure::began(std::uint64_t id, const Txn& txn, double now) {
     if (!txn.writes.empty()) {
-        open_[id] = {now, txn.writes.size(), txn.spared, txn.purpose,
-                     txn.urgency != Urgency::last};
+        open_[id] = {now, txn.writes.size(), txn.spared, txn.purpose, txn.urgency != Urgency::last};
     }
 }
 
@@ -66,9 +65,9 @@
             by += fmt::format("{}{} {}", by.empty() ? "" : ", ", names[i], written_[i]);
         }
     }
-    auto words = fmt::format("{:.1f} writes a second ({}), {:.2f} s waited, {} lost to others, {} refused",
-                             static_cast<double>(all) / passed, by, write_wait_s(now), lost_,
-                             refused_);
+    auto words =
+        fmt::format("{:.1f} writes a second ({}), {:.2f} s waited, {} lost to others, {} refused",
+                    static_cast<double>(all) / passed, by, write_wait_s(now), lost_, refused_);
     written_ = {};
     lost_ = refused_ = 0;
     words_at_ = now;
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -138,7 +138,8 @@
 };
 
 // Claims and ends of many jobs in one record: while writes are short, one for each block would make
-// all work wait. Its entries hold beside the blocks' records until a write of the block takes them in.
+// all work wait. Its entries hold beside the blocks' records until a write of the block takes them
+// in.
 struct Sheet {
     Revision revision = 0;
     std::vector<Entry> entries;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -161,10 +161,11 @@
         if (m.mine != mine) {
             continue;
         }
-        if (!(mine ? fleet_.usable(m) : fleet_.in_use(m))) {
+        m.considered = true;  // where there is no room or use for it, that is an answer as well
+        if (fleet_.room(m).cpus < Resources::slack ||
+            !(mine ? fleet_.usable(m) : fleet_.in_use(m))) {
             continue;
         }
-        m.considered = true;
         Offer offer;
         offer.machine = &m;
         offer.room = fleet_.room(m);
@@ -205,8 +206,8 @@
         }
         bool shared = sheets_.shared(*waiting.job);
         double stagger = shared ? 0 : constants::home_stagger_s * static_cast<double>(waiting.turn);
-        bool theirs = shared && waiting.job->block_count() == 1 &&
-                      !sheets_.may_claim(*waiting.job, 0);
+        bool theirs =
+            shared && waiting.job->block_count() == 1 && !sheets_.may_claim(*waiting.job, 0);
         if (!theirs && ctx_.now.steady - waiting.open_since >= stagger) {
             walk(round, waiting);
         }
@@ -352,8 +353,8 @@
     for (int k = 0; k < job.block_count(); ++k) {
         const Block& now = job.block(k);
         int open = job.block_last(k) - job.block_first(k) + 1 - now.done_count();
-        if (open == static_cast<int>(now.placed.size()) ||
-            ctx_.busy.count(job.block_key(k)) != 0 || !sheets_.may_claim(job, k)) {
+        if (open == static_cast<int>(now.placed.size()) || ctx_.busy.count(job.block_key(k)) != 0 ||
+            !sheets_.may_claim(job, k)) {
             continue;
         }
         bool shared = sheets_.shared(job);
@@ -701,7 +702,8 @@
     auto machines = expect(batch);
     Txn txn = std::move(batch.txn);
     ctx_.txn(std::move(txn), [this, batch, machines](const StateReply& r) {
-        settle(batch, machines, r, [this, blocks = batch.blocks.size()] { blocks_open_ -= blocks; });
+        settle(batch, machines, r,
+               [this, blocks = batch.blocks.size()] { blocks_open_ -= blocks; });
     });
 }
 
--- a/src/core/sheets.cpp
+++ b/src/core/sheets.cpp
@@ -89,7 +89,8 @@
 Condition Sheets::target() const {
     auto prefix = prefix_of(ctx_.me.id);
     std::string best;
-    auto least = static_cast<std::size_t>(static_cast<double>(most()) * constants::sheet_kept_share);
+    auto least =
+        static_cast<std::size_t>(static_cast<double>(most()) * constants::sheet_kept_share);
     for (auto it = ctx_.jobs.sheets().lower_bound(prefix);
          it != ctx_.jobs.sheets().end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
         if (open_.count(it->first) != 0) {
@@ -175,9 +176,8 @@
         return;
     }
     retiring_ = true;
-    ctx_.txn(std::move(txn), [this](const StateReply& r) {
-        ctx_.when_settled(r, [this] { retiring_ = false; });
-    });
+    ctx_.txn(std::move(txn),
+             [this](const StateReply& r) { ctx_.when_settled(r, [this] { retiring_ = false; }); });
 }
 
 }  // namespace cranemoor::core
--- a/src/core/sheets.hpp
+++ b/src/core/sheets.hpp
@@ -1,6 +1,6 @@
-// Sheets: claims and ends of many jobs in one record, while the admission table says that writes are
-// short. Each block of a job then has one member that claims from it, its home: claims in different
-// records can't tell of each other otherwise.
+// Sheets: claims and ends of many jobs in one record, while the admission table says that writes
+// are short. Each block of a job then has one member that claims from it, its home: claims in
+// different records can't tell of each other otherwise.
 #pragma once
 
 #include <functional>
