Who keeps a connection when sockets run short stands in one order

Cause: with two of three controllers standing still, or a zone cut, one controller took 2,262 of its 2,262 sockets at half as many machines again: each of 2,005 workers kept one for a report every few seconds, users one for a poll, and 24,778 submissions found no node. Change: src/sockets, a pure policy: beyond half of the sockets an answer to a user ends its connection, beyond three quarters one to a worker; when all are taken the longest idle make room, first those that asked nothing, then users', then workers'; connections for direct commands are closed at once while they are many.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -331,13 +331,23 @@
 inline constexpr double core_tick_s = 0.05;
 // share of the settings' sockets that users and workers may take
 inline constexpr double front_share = 0.85;
+// shares of those, taken, from which on an answer to a user and to a worker ends the connection: a
+// new one costs some hundredths of a millisecond, one that is refused a second or more
+inline constexpr double users_keep_share = 0.5;
+inline constexpr double workers_keep_share = 0.75;
+// s that a connection has been idle before it makes room for a new one while all are taken: what
+// was just answered may ask again
+inline constexpr double idle_spare_s = 0.5;
+// share of the settings' sockets that connections to workers take before unused ones are closed
+inline constexpr double orders_share = 0.04;
 // sockets for the other controllers: from all of them, and to each
 inline constexpr std::size_t back_connections = 64;
 inline constexpr std::size_t peer_connections = 16;
 // connections to one worker
 inline constexpr std::size_t worker_connections = 2;
-// s after which an unused client to a worker is dropped
+// s after which an unused client to a worker is dropped, and between looks for such
 inline constexpr double worker_idle_s = 20;
+inline constexpr double worker_prune_s = 0.5;
 // bytes of an answer of a worker, a peer or a controller at the most: 16 times the protocol's limit
 inline constexpr std::size_t peer_answer_max = 1UL << 20;
 // connections to the state service: as many transactions may be under way at once
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -48,7 +48,7 @@
     controller_.start(loop_.now());
     act();
     tick_.start(c::core_tick_s, c::core_tick_s);
-    pruner_.start(c::worker_idle_s, c::worker_idle_s);
+    pruner_.start(c::worker_prune_s, c::worker_prune_s);
 }
 
 void Gateway::serve(std::uint64_t request, HttpMessage&& m) {
@@ -138,14 +138,15 @@
 void Gateway::act(const core::UserReply& r) {
     // With 503 the connection is closed: the load balancer then picks a node anew.
     bool busy = r.status == 503;
-    front_.reply(r.request, r.status, wire::user_body(r), busy ? c::retry_after_s : 0, busy);
+    front_.reply(r.request, r.status, wire::user_body(r), busy ? c::retry_after_s : 0, busy,
+                 sockets::Asker::user);
 }
 
 void Gateway::act(const core::WorkerReply& r) {
     if (back_.knows(r.request)) {
         back_.reply(r.request, 200, wire::peer_reply_body(r));
     } else {
-        front_.reply(r.request, r.status, wire::worker_body(r));
+        front_.reply(r.request, r.status, wire::worker_body(r), 0, false, sockets::Asker::worker);
     }
 }
 
@@ -218,10 +219,14 @@
     }
 }
 
+// Connections to workers are kept for the next command, unless they are many: after a take-over
+// there is one to each machine, and the sockets are needed for their reports.
 void Gateway::prune() {
     double t = loop_.now().steady;
+    auto most = static_cast<std::size_t>(settings_.max_connections * c::orders_share);
     for (auto it = workers_.begin(); it != workers_.end();) {
-        bool idle = t - it->second->last_used() > c::worker_idle_s;
+        bool spare = workers_.size() > most && !it->second->busy();
+        bool idle = spare || t - it->second->last_used() > c::worker_idle_s;
         it = idle ? workers_.erase(it) : std::next(it);
     }
 }
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -31,6 +31,11 @@
     pump();
 }
 
+bool HttpClient::busy() const {
+    return !queue_.empty() || std::any_of(connections_.begin(), connections_.end(),
+                                          [](const auto& c) { return c.second->call != nullptr; });
+}
+
 void HttpClient::pump() {
     while (!queue_.empty()) {
         std::uint64_t id = 0;
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -26,6 +26,8 @@
     void request(const std::string& method, const std::string& target, const std::string& body,
                  double timeout_s, Done done);
     bool unused() const { return connections_.empty() && queue_.empty(); }
+    // Whether a call waits or is under way.
+    bool busy() const;
     double last_used() const { return last_used_; }
     const std::string& address() const { return address_; }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -70,18 +70,36 @@
     c.partial = false;
 }
 
+void HttpServer::rest(std::uint64_t id, Connection& c) {
+    c.idle = true;
+    c.active = loop_.now().steady;
+    idle_.insert({c.rank, c.active, id});
+}
+
+void HttpServer::wake(std::uint64_t id, Connection& c) {
+    if (std::exchange(c.idle, false)) {
+        idle_.erase({c.rank, c.active, id});
+    }
+}
+
 // Guards against senders of half requests, who could hold every socket until their time is over
-// while health checks find none: the oldest half makes room.
+// while health checks find none: the oldest half makes room. Else the idle ones do, in the order of
+// their standing: while two of three controllers stand still, all workers and users come here.
 bool HttpServer::make_room() {
-    if (partial_.empty()) {
-        return false;
-    }
-    auto [since, id] = *partial_.begin();
-    if (loop_.now().steady - since < constants::half_sent_spare_s) {
-        return false;
+    double t = loop_.now().steady;
+    if (!partial_.empty() && t - partial_.begin()->first >= constants::half_sent_spare_s) {
+        close(partial_.begin()->second);
+        return true;
+    }
+    // The oldest of each rank.
+    for (auto it = idle_.begin(); it != idle_.end();
+         it = idle_.lower_bound({std::get<0>(*it) + 1, 0, 0})) {
+        if (t - std::get<1>(*it) >= constants::idle_spare_s) {
+            close(std::get<2>(*it));
+            return true;
+        }
     }
-    close(id);
-    return true;
+    return false;
 }
 
 void HttpServer::ready(std::uint64_t id, int events) {
@@ -107,6 +125,7 @@
         close(id);
         return;
     }
+    wake(id, c);
     c.active = loop_.now().steady;
     if (c.closing) {
         return;  // answered for good; what still comes is not read
@@ -148,7 +167,7 @@
 }
 
 void HttpServer::reply(std::uint64_t request, int status, const std::string& body,
-                       int retry_after_s, bool close) {
+                       int retry_after_s, bool close, sockets::Asker asker) {
     auto it = requests_.find(request);
     if (it == requests_.end()) {
         return;  // the asker has gone
@@ -160,12 +179,17 @@
         return;
     }
     Connection& c = *found->second;
-    bool keep = c.keep_alive && !close;
+    auto standing = sockets::standing(asker);
+    c.rank = standing.rank;
+    bool keep =
+        c.keep_alive && !close && sockets::keeps(standing, connections_.size(), connections_max_);
     c.out += http_response(status, body, keep, retry_after_s);
     c.request = 0;
     c.closing = !keep;
     if (write(id, c) && keep) {
-        if (!c.parser.idle()) {
+        if (c.parser.idle()) {
+            rest(id, c);
+        } else {
             await(id, c);
         }
         process(id, c.parser.feed({}));
@@ -183,7 +207,9 @@
             return false;
         }
         c.out.erase(0, static_cast<std::size_t>(n));
-        c.active = loop_.now().steady;
+        if (!c.idle) {
+            c.active = loop_.now().steady;
+        }
     }
     if (c.out.empty() && c.closing) {
         close(id);
@@ -198,6 +224,7 @@
     if (it == connections_.end()) {
         return;
     }
+    wake(id, *it->second);
     if (it->second->request != 0) {
         requests_.erase(it->second->request);
     }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -8,11 +8,13 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "core/constants.hpp"
 #include "io/http_parser.hpp"
 #include "io/loop.hpp"
+#include "sockets/standing.hpp"
 
 namespace cranemoor::io {
 
@@ -28,7 +30,7 @@
 
     // Requests carry ids that are unique within the process.
     void reply(std::uint64_t request, int status, const std::string& body, int retry_after_s = 0,
-               bool close = false);
+               bool close = false, sockets::Asker asker = sockets::Asker::nobody);
     bool knows(std::uint64_t request) const { return requests_.count(request) != 0; }
     std::size_t connections() const { return connections_.size(); }
 
@@ -44,6 +46,8 @@
         double active = 0;    // when bytes last went either way
         double since = 0;     // when the request that is still to come whole began
         bool partial = true;  // such a one is awaited: it has begun, or is the first
+        int rank = 0;         // of its last answer, see sockets::Standing
+        bool idle = false;    // answered, and nothing new has begun
     };
 
     void accept();
@@ -57,6 +61,8 @@
     void await(std::uint64_t id, Connection& c);
     void complete(std::uint64_t id, Connection& c);
     bool make_room();
+    void rest(std::uint64_t id, Connection& c);
+    void wake(std::uint64_t id, Connection& c);
 
     Loop& loop_;
     std::size_t connections_max_;
@@ -67,6 +73,8 @@
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
     std::map<std::uint64_t, std::uint64_t> requests_;     // request to connection
     std::set<std::pair<double, std::uint64_t>> partial_;  // connections with such, oldest first
+    // Idle connections by rank and by since when, in the order in which they make room.
+    std::set<std::tuple<int, double, std::uint64_t>> idle_;
     static std::uint64_t next_request_;
 };
 
