What a sheet still needs is counted every two seconds, not at each write

Change: the count is kept for two seconds; an older one can only be too high, since what is no longer needed never is again.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -111,6 +111,8 @@
 inline constexpr std::size_t sheet_bytes = 8192;
 // share of a sheet that may still be needed when it is written again; beyond it a new one is begun
 inline constexpr double sheet_kept_share = 0.25;
+// s for which a count of what is still needed of a sheet is used: it can only be too high
+inline constexpr double sheet_count_s = 2.0;
 // sheets removed in one change: they are in nobody's way
 inline constexpr std::size_t sheets_retired = 4;
 // writes of sheets with claims on their way at the most: more would only wait for each other
--- a/src/core/sheets.cpp
+++ b/src/core/sheets.cpp
@@ -74,6 +74,15 @@
 }
 
 std::size_t Sheets::kept_bytes(const std::string& key) const {
+    Revision revision = ctx_.jobs.revision_of(key);
+    Kept& kept = kept_[key];
+    if (kept.revision != revision || ctx_.now.steady >= kept.until) {
+        kept = {revision, count_kept(key), ctx_.now.steady + constants::sheet_count_s};
+    }
+    return kept.bytes;
+}
+
+std::size_t Sheets::count_kept(const std::string& key) const {
     std::size_t sum = 0;
     auto it = ctx_.jobs.sheets().find(key);
     if (it != ctx_.jobs.sheets().end()) {
@@ -144,7 +153,7 @@
 
 // Whether a record of sheets has nothing that anybody needs, and nobody will write it again.
 bool Sheets::retired(const std::string& key) const {
-    if (open_.count(key) != 0 || kept_bytes(key) > 0) {
+    if (open_.count(key) != 0 || count_kept(key) > 0) {
         return false;
     }
     auto prefix = prefix_of(ctx_.me.id);
@@ -163,6 +172,7 @@
         return;
     }
     next_retire_ = ctx_.now.steady + constants::retire_every_s;
+    std::erase_if(kept_, [&](const auto& k) { return ctx_.jobs.revision_of(k.first) == 0; });
     Txn txn;
     txn.urgency = Urgency::last;
     txn.conditions.push_back(ctx_.epoch_condition());
--- a/src/core/sheets.hpp
+++ b/src/core/sheets.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/context.hpp"
@@ -39,12 +40,21 @@
     std::size_t frame() const;
     std::size_t most() const;
     std::size_t kept_bytes(const std::string& key) const;
+    std::size_t count_kept(const std::string& key) const;
     bool retired(const std::string& key) const;
 
     Context& ctx_;
     std::set<std::string> open_;  // records with a write under way
     bool retiring_ = false;
     double next_retire_ = 0;
+    // Bytes of a record that are still needed, as counted lately. What is no longer needed never is
+    // again, so an older count is only too high.
+    struct Kept {
+        Revision revision = 0;
+        std::size_t bytes = 0;
+        double until = 0;
+    };
+    mutable std::unordered_map<std::string, Kept> kept_;
     // Members and their weights, of all zones and by zone, as of an epoch and a table.
     mutable std::map<std::string, Members> members_;
     mutable Revision members_epoch_ = 0;
