Messages are read in one pass and not copied; parts are counted only when told

Cause: each message was decoded twice, once for its depth, and the cloud's list copied whole: an eighth to a sixth of the leading member's time in an overload; the table's parts were counted twice a second and written every four. Change: one reader that builds the value and refuses depth and bytes on the way; values are moved.

--- a/src/core/accord.cpp
+++ b/src/core/accord.cpp
@@ -50,8 +50,11 @@
     if (!next.shared && !was) {
         return;
     }
+    if (next.shared == was && t < next_write_) {
+        return;
+    }
     next.parts = parts();
-    if (next.shared != was || (t >= next_write_ && differ(next.parts))) {
+    if (next.shared != was || differ(next.parts)) {
         write(std::move(next));
     }
 }
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -402,7 +402,7 @@
 inline constexpr std::size_t chunk_digits_max = 8;
 // levels of nesting that a body may have. The decoder calls itself for each level: a body of
 // nothing but opening brackets must not exhaust the stack
-inline constexpr int message_depth_max = 24;
+inline constexpr std::size_t message_depth_max = 24;
 
 // --- settings -----------------------------------------------------------------------------
 // changes of one transaction without which the service can't work: a final state is moved by
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -12,31 +12,62 @@
 
 namespace {
 
-class DepthGuard : public nlohmann::json_sax<Json> {
+// Reads a value and refuses what is nested too deep, or holds bytes, in one go.
+class Reader : public nlohmann::json_sax<Json> {
   public:
-    bool null() override { return true; }
-    bool boolean(bool /*v*/) override { return true; }
-    bool number_integer(number_integer_t /*v*/) override { return true; }
-    bool number_unsigned(number_unsigned_t /*v*/) override { return true; }
-    bool number_float(number_float_t /*v*/, const string_t& /*s*/) override { return true; }
-    bool string(string_t& /*v*/) override { return true; }
+    bool null() override { return put(nullptr) != nullptr; }
+    bool boolean(bool v) override { return put(v) != nullptr; }
+    bool number_integer(number_integer_t v) override { return put(v) != nullptr; }
+    bool number_unsigned(number_unsigned_t v) override { return put(v) != nullptr; }
+    bool number_float(number_float_t v, const string_t& /*s*/) override {
+        return put(v) != nullptr;
+    }
+    bool string(string_t& v) override { return put(std::move(v)) != nullptr; }
     bool binary(binary_t& /*v*/) override { return false; }
-    bool start_object(std::size_t /*n*/) override {
-        return ++depth_ <= constants::message_depth_max;
-    }
-    bool end_object() override { return --depth_ >= 0; }
-    bool start_array(std::size_t /*n*/) override {
-        return ++depth_ <= constants::message_depth_max;
+    bool start_object(std::size_t /*n*/) override { return open(Json::object()); }
+    bool end_object() override { return close(); }
+    bool start_array(std::size_t /*n*/) override { return open(Json::array()); }
+    bool end_array() override { return close(); }
+    bool key(string_t& k) override {
+        member_ = &(*open_.back())[k];
+        return true;
     }
-    bool end_array() override { return --depth_ >= 0; }
-    bool key(string_t& /*v*/) override { return true; }
     bool parse_error(std::size_t /*at*/, const std::string& /*token*/,
                      const nlohmann::detail::exception& /*e*/) override {
         return false;
     }
+    Json take() { return std::move(root_); }
 
   private:
-    int depth_ = 0;
+    // Where the value now lies: in the array or under the key that was begun last.
+    Json* put(Json v) {
+        if (open_.empty()) {
+            root_ = std::move(v);
+            return &root_;
+        }
+        Json& in = *open_.back();
+        if (in.is_array()) {
+            in.push_back(std::move(v));
+            return &in.back();
+        }
+        *member_ = std::move(v);
+        return member_;
+    }
+    bool open(Json v) {
+        if (open_.size() >= constants::message_depth_max) {
+            return false;
+        }
+        open_.push_back(put(std::move(v)));
+        return true;
+    }
+    bool close() {
+        open_.pop_back();
+        return true;
+    }
+
+    Json root_;
+    std::vector<Json*> open_;
+    Json* member_ = nullptr;
 };
 
 // Guards against text that no record could keep: the library writes none of it.
@@ -245,15 +276,11 @@
 }  // namespace
 
 std::optional<Json> decode(const std::string& body) {
-    DepthGuard guard;
-    if (!Json::sax_parse(body, &guard, Json::input_format_t::cbor)) {
+    Reader reader;
+    if (!Json::sax_parse(body, &reader, Json::input_format_t::cbor)) {
         return std::nullopt;
     }
-    Json value = Json::from_cbor(body, true, false);
-    if (value.is_discarded()) {
-        return std::nullopt;
-    }
-    return value;
+    return reader.take();
 }
 
 std::string encode(const Json& value) {
@@ -555,7 +582,7 @@
         }
         switch (call.kind) {
             case StateCall::Kind::get:
-                r.value = v.at("value");
+                r.value = std::move(v.at("value"));
                 break;
             case StateCall::Kind::list:
                 read_items(v, r);
@@ -605,7 +632,7 @@
 CloudReply read_cloud_reply(const CloudCall& call, int status, const std::string& body) {
     CloudReply r;
     auto value = decode(body);
-    Json v = value && value->is_object() ? *value : Json::object();
+    Json v = value && value->is_object() ? std::move(*value) : Json::object();
     try {
         if (status == 503 && call.kind == CloudCall::Kind::rent &&
             v.value("error", "") == "no capacity") {
