A flow is behind when one of its jobs gets nothing, and stays so up to its floor

Change: a job's wait counts from the last of its tasks that was placed; a flow that is ahead stays so until it holds its floor, which is 0.7 of its part; placements are kept by hash (0.05 of a controller's time were look-ups).

--- a/src/admission/floors.cpp
+++ b/src/admission/floors.cpp
@@ -29,7 +29,7 @@
             const Team& t = teams.at(f.name.first);
             floor = sum > 0 ? room * bounds.share * t.weight / sum / t.classes : 0;
         }
-        if (f.waited_s >= bounds.after_s && f.holds < floor) {
+        if ((f.ahead || f.waited_s >= bounds.after_s) && f.holds < floor) {
             found[f.name] = floor - f.holds;
         }
     }
--- a/src/admission/floors.hpp
+++ b/src/admission/floors.hpp
@@ -18,10 +18,11 @@
 
 struct Flow {
     FlowName name;
-    double weight = 1;  // of its team, in machines; the same for all its classes
-    bool idle = false;  // work that takes its turn after everybody else's
-    double holds = 0;   // machines that its work takes, in parts of one
-    double waited_s = 0;
+    double weight = 1;    // of its team, in machines; the same for all its classes
+    bool ahead = false;   // lacked something at the last look: it stays so up to its floor
+    bool idle = false;    // work that takes its turn after everybody else's
+    double holds = 0;     // machines that its work takes, in parts of one
+    double waited_s = 0;  // the longest that one of its jobs has waited without getting anything
 };
 
 struct FloorBounds {
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -70,14 +70,15 @@
 
 // --- floors -------------------------------------------------------------------------------
 // share of what a flow is entitled to by its team's weight below which it goes ahead of all others:
-// half, so that the ordinary order still decides about half of all room
-inline constexpr double floor_share = 0.5;
+// so that a class that asks for as much as its part is served to more than half, and the ordinary
+// order still decides about a third of all room
+inline constexpr double floor_share = 0.7;
 // the same for idle work, of all room: its last place, but not none
 inline constexpr double floor_idle_share = 0.01;
 // s that a flow must have waited: longer than a boot and a fetch, which nobody can spare it
 inline constexpr double floor_after_s = 60;
 // s between looks at who is below
-inline constexpr double floors_every_s = 1.0;
+inline constexpr double floors_every_s = 2.0;
 // gangs of flows below their floor that machines are held for at once: each may keep some idle
 inline constexpr std::size_t floor_holds = 16;
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -200,7 +200,7 @@
     mutable std::unordered_map<std::string, int> image_numbers_;
     std::vector<Machine*> asking_;  // machines whose report waits for its answer
     std::map<std::string, Failures> failures_;
-    std::map<TaskId, double> placed_at_;
+    std::unordered_map<TaskId, double, TaskIdHash> placed_at_;
     // submission time and machines of such jobs
     std::map<std::string, std::pair<double, int>> whole_;
     std::map<std::string, std::pair<double, int>> cheap_;
--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -59,6 +59,10 @@
             double since = old->second->open_since;
             remove(uid);
             add(*job, since);
+        } else {
+            Waiting& w = *old->second;
+            w.stuck_since = job->open() < w.open ? ctx_.now.steady : w.stuck_since;
+            w.open = job->open();
         }
     }
 }
@@ -93,6 +97,8 @@
     w->image = job.spec.image;
     w->came_wall = job.came_wall();
     w->open_since = since;
+    w->open = job.open();
+    w->stuck_since = since;
     w->turn = turn(job);
     w->demands = demands(job.spec);
     lanes_[{w->team, w->priority}].insert(w.get());
@@ -168,12 +174,15 @@
         admission::Flow& f = flows[{w->team, w->job_class}];
         f.name = {w->team, w->job_class};
         f.idle = w->priority == Priority::best_effort;
-        f.waited_s = std::max(f.waited_s, ctx_.now.steady - w->open_since);
+        // A job of which some is placed now and then is served, however long the rest waits: one
+        // huge array of a guest would else go before everybody's work.
+        f.waited_s = std::max(f.waited_s, ctx_.now.steady - w->stuck_since);
     }
     std::vector<admission::Flow> list;
     list.reserve(flows.size());
     for (auto& [name, f] : flows) {
         f.weight = weight(name.first);
+        f.ahead = lacks_.count(name) != 0;
         list.push_back(std::move(f));
     }
     return list;
@@ -187,8 +196,9 @@
     }
     next_look_ = ctx_.now.steady + constants::floors_every_s;
     auto flows = waiting_flows();
-    bool late = std::any_of(flows.begin(), flows.end(),
-                            [](const auto& f) { return f.waited_s >= constants::floor_after_s; });
+    bool late = std::any_of(flows.begin(), flows.end(), [](const auto& f) {
+        return f.ahead || f.waited_s >= constants::floor_after_s;
+    });
     std::map<admission::FlowName, double> next;
     if (late) {
         std::map<admission::FlowName, double> holds;
--- a/src/core/flows.hpp
+++ b/src/core/flows.hpp
@@ -28,9 +28,11 @@
         bool ahead = false;  // its flow is below its floor
         std::string image;
         double came_wall = 0;
-        double open_since = 0;  // steady s, as far as this process has seen
-        std::size_t turn = 0;   // this member's place in the order in which members look at it
-        int demands = 0;        // equal for jobs that fit the same machines
+        double open_since = 0;   // steady s, as far as this process has seen
+        int open = 0;            // its tasks to place, as last seen
+        double stuck_since = 0;  // steady s, when one of them was last placed, or it came
+        std::size_t turn = 0;    // this member's place in the order in which members look at it
+        int demands = 0;         // equal for jobs that fit the same machines
     };
 
     Flows(Context& ctx, const Fleet& fleet) : ctx_(ctx), fleet_(fleet) {}
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -76,6 +77,13 @@
     std::string text() const { return uid + "/" + std::to_string(index); }
 };
 
+struct TaskIdHash {
+    std::size_t operator()(const TaskId& id) const {
+        constexpr std::size_t spread = 0x9e3779b97f4a7c15;  // 2^64 over the golden ratio
+        return std::hash<std::string>{}(id.uid) + static_cast<std::size_t>(id.index) * spread;
+    }
+};
+
 enum class TaskState { fetching, waiting, running, saving, exited };
 enum class ExitReason {
     none,
--- a/tests/floors_test.cpp
+++ b/tests/floors_test.cpp
@@ -12,7 +12,7 @@
 
 Flow flow(const std::string& team, const std::string& name, double weight, double holds,
           double waited) {
-    return {{team, name}, weight, false, holds, waited};
+    return {{team, name}, weight, false, false, holds, waited};
 }
 
 TEST(Floors, OnlyThoseLackThatWaitLongAndHoldLittle) {
@@ -23,8 +23,17 @@
     EXPECT_DOUBLE_EQ(found.at({"red", "sweep"}), 2.5);  // half of a half of a half, less 10
 }
 
+TEST(Floors, WhoIsAheadStaysSoUpToItsFloor) {
+    auto one = flow("red", "sweep", 1, 24, 1);
+    EXPECT_TRUE(lacks({one, flow("red", "gang", 1, 30, 1)}, 100, bounds).empty());
+    one.ahead = true;
+    EXPECT_DOUBLE_EQ(lacks({one, flow("red", "gang", 1, 30, 1)}, 100, bounds).at(one.name), 1);
+    one.holds = 25;
+    EXPECT_TRUE(lacks({one, flow("red", "gang", 1, 30, 1)}, 100, bounds).empty());
+}
+
 TEST(Floors, IdleWorkTakesNothingFromOthersFloorsButHasItsOwn) {
-    Flow idle{{"guest", "night"}, 50, true, 0, 100};
+    Flow idle{{"guest", "night"}, 50, false, true, 0, 100};
     auto found = lacks({flow("red", "sweep", 1, 0, 100), idle}, 100, bounds);
     EXPECT_DOUBLE_EQ(found.at({"red", "sweep"}), 50);
     EXPECT_DOUBLE_EQ(found.at({"guest", "night"}), 1);
