--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -10,22 +10,9 @@
 namespace cranemoor::io {
 namespace {
 
-TEST(HttpServer, HalfSentRequestsMakeRoomForAWholeOne) {
-    Loop loop;
-    auto address = local(free_port());
-    constexpr std::size_t sockets = 4;
-    HttpServer server(loop, address, sockets, [&](std::uint64_t request, HttpMessage&&) {
-        server.reply(request, 200, "");
-    });
-    std::vector<std::unique_ptr<Descriptor>> half;
-    for (std::size_t i = 0; i < sockets; ++i) {
-        int fd = connect_to(address);
-        ASSERT_GE(fd, 0);
-        half.push_back(std::make_unique<Descriptor>(loop, fd, [](int) {}));
-        ASSERT_GT(::send(fd, "GET ", 4, MSG_NOSIGNAL), 0);
-    }
-    // Bounded by tries: while nothing makes room each is refused at once.
-    int tries = 40;
+// One more asker that tries until it is answered. Bounded by tries: while nothing makes room each
+// is refused at once.
+int ask_until_answered(Loop& loop, const std::string& address, int tries) {
     int status = 0;
     HttpClient client(loop, address, 1, 1000);
     Timer again(loop, [&] {
@@ -40,27 +27,25 @@
     });
     again.start(0);
     loop.run();
-    EXPECT_EQ(status, 200);
-    EXPECT_LE(server.connections(), sockets);
+    return status;
 }
 
-// A server whose connections all hold, with one more asker that tries until it is answered.
-int ask_until_answered(Loop& loop, const std::string& address, int tries) {
-    int status = 0;
-    HttpClient client(loop, address, 1, 1000);
-    Timer again(loop, [&] {
-        client.request("GET", "/healthz", "", 5, [&](const HttpMessage* m) {
-            status = m != nullptr ? m->status : 0;
-            if (status == 200 || --tries == 0) {
-                loop.stop();
-            } else {
-                again.start(0.05);
-            }
-        });
+TEST(HttpServer, HalfSentRequestsMakeRoomForAWholeOne) {
+    Loop loop;
+    auto address = local(free_port());
+    constexpr std::size_t sockets = 4;
+    HttpServer server(loop, address, sockets, [&](std::uint64_t request, HttpMessage&&) {
+        server.reply(request, 200, "");
     });
-    again.start(0);
-    loop.run();
-    return status;
+    std::vector<std::unique_ptr<Descriptor>> half;
+    for (std::size_t i = 0; i < sockets; ++i) {
+        int fd = connect_to(address);
+        ASSERT_GE(fd, 0);
+        half.push_back(std::make_unique<Descriptor>(loop, fd, [](int) {}));
+        ASSERT_GT(::send(fd, "GET ", 4, MSG_NOSIGNAL), 0);
+    }
+    EXPECT_EQ(ask_until_answered(loop, address, 40), 200);
+    EXPECT_LE(server.connections(), sockets);
 }
 
 TEST(HttpServer, IdleUsersMakeRoomBeforeIdleWorkers) {
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -9,6 +9,21 @@
     return fmt::format("req-{:06}", number);
 }
 
+// Whether it holds of all jobs from 1 to n.
+template <typename Holds>
+bool all_jobs(int n, Holds holds) {
+    for (int i = 1; i <= n; ++i) {
+        if (!holds(uid(i))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool all_finished(World& w, int n) {
+    return all_jobs(n, [&](const auto& job) { return w.finished(job); });
+}
+
 std::uint64_t epoch_of(World& w) {
     return w.stored("c/epoch")->at("number").get<std::uint64_t>();
 }
@@ -40,18 +55,11 @@
     for (int n = 1; n <= 40; ++n) {
         w.submit(n % 3, w.job(n, JobKind::array, 2));
     }
-    auto all = [&](auto what) {
-        for (int n = 1; n <= 40; ++n) {
-            if (!what(uid(n))) {
-                return false;
-            }
-        }
-        return true;
-    };
-    ASSERT_TRUE(w.until([&] { return all([&](auto u) { return w.running(u) == 2; }); }, 60));
+    ASSERT_TRUE(w.until(
+        [&] { return all_jobs(40, [&](const auto& job) { return w.running(job) == 2; }); }, 60));
     EXPECT_GT(w.writes["c/s"], 0);
     EXPECT_LT(w.writes["c/s"] + w.writes["c/b"], 40);
-    EXPECT_TRUE(w.until([&] { return all([&](auto u) { return w.finished(u); }); }, 90));
+    EXPECT_TRUE(w.until([&] { return all_finished(w, 40); }, 90));
 }
 
 TEST_F(Three, WhatSheetsSayOutlivesTheMembersThatSaidIt) {
@@ -79,16 +87,7 @@
     for (int i = 0; i < 3; ++i) {
         w.start(i);
     }
-    EXPECT_TRUE(w.until(
-        [&] {
-            for (int n = 1; n <= 20; ++n) {
-                if (!w.finished(uid(n))) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        150));
+    EXPECT_TRUE(w.until([&] { return all_finished(w, 20); }, 150));
 }
 
 TEST_F(Three, ATableThatTurnsOverAndOverMakesNobodyClaimTwice) {
@@ -98,16 +97,8 @@
         w.set_table(n % 2 == 0, {1 + n % 3, 1 + n % 5, 1 + n % 7});
         w.run(0.3);
     }
-    EXPECT_TRUE(w.until(
-        [&] {
-            for (int n = 1; n <= 30; ++n) {
-                if (!w.finished(uid(n))) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        200));  // the rules are checked by the world
+    EXPECT_TRUE(w.until([&] { return all_finished(w, 30); },
+                        200));  // the rules are checked by the world
 }
 
 struct Nine : Story {
@@ -121,15 +112,7 @@
         w.submit(n % 9, w.job(n, JobKind::array, 4));
     }
     ASSERT_TRUE(w.until(
-        [&] {
-            for (int n = 1; n <= 12; ++n) {
-                if (w.running(uid(n)) < 4) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        90));
+        [&] { return all_jobs(12, [&](const auto& job) { return w.running(job) == 4; }); }, 90));
     auto before = epoch_of(w);
     constexpr int ends = 30;
     for (int k = 0; k < ends; ++k) {
@@ -163,16 +146,7 @@
     }
     EXPECT_EQ(accepted, 30);
     EXPECT_TRUE(w.until([&] { return w.all_members(3); }, 10));
-    EXPECT_TRUE(w.until(
-        [&] {
-            for (int n = 1; n <= 30; ++n) {
-                if (!w.finished(uid(n))) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        120));
+    EXPECT_TRUE(w.until([&] { return all_finished(w, 30); }, 120));
 }
 
 }  // namespace
