--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -110,6 +110,8 @@
 inline constexpr int block_tasks_max = 128;
 // share of the value limit that is used: what the service counts may be spaced out
 inline constexpr double value_share = 0.95;
+// bytes of a transaction at the most, the protocol's limit
+inline constexpr double txn_bytes = 65536;
 // bytes of a value that one placed task takes beside its zone's name: numbers, marks, and a
 // machine's name of twelve letters. Only an estimate for the size of blocks: claims are bounded by
 // what their record really takes.
--- a/src/core/conversion.cpp
+++ b/src/core/conversion.cpp
@@ -2,18 +2,34 @@
 
 namespace cranemoor::core {
 
-int block_tasks(const Context& ctx) {
+namespace {
+// Bytes that a placed task takes at the most.
+std::size_t task_bytes(const Context& ctx) {
     std::size_t zone = 0;
     for (const auto& z : ctx.settings.zones) {
         zone = std::max(zone, z.size());
     }
-    std::size_t each = constants::placement_bytes + zone;
+    return constants::placement_bytes + zone;
+}
+}  // namespace
+
+int block_tasks(const Context& ctx) {
+    std::size_t each = task_bytes(ctx);
     std::size_t room =
         ctx.value_max() - std::min<std::size_t>(ctx.value_max() / 2, constants::block_frame_bytes);
     int fits = static_cast<int>(room / each);
     return std::max(2, std::min(constants::block_tasks_max, fits) / 2 * 2);
 }
 
+int largest_gang(const Context& ctx) {
+    // Its blocks and its team's slices are one transaction.
+    int blocks = static_cast<int>(ctx.ops_max()) - 1;
+    auto room = static_cast<std::size_t>(constants::txn_bytes * constants::value_share);
+    std::size_t frames = constants::block_frame_bytes * ctx.ops_max();
+    auto fit = static_cast<int>((room - std::min(room / 2, frames)) / task_bytes(ctx));
+    return std::min(block_tasks(ctx) * blocks, fit);
+}
+
 void Conversion::tick() {
     if (!ctx_.member || ctx_.to_part.empty()) {
         return;
--- a/src/core/conversion.hpp
+++ b/src/core/conversion.hpp
@@ -11,6 +11,8 @@
 // The tasks of a block of that many bytes that fit under the smaller limit; even, so that
 // per-block spread rules add up.
 int block_tasks(const Context& ctx);
+// Tasks of the largest gang that one transaction can claim: larger ones can never start whole.
+int largest_gang(const Context& ctx);
 
 class Conversion {
   public:
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -245,6 +245,10 @@
         (team->limit.gpus > 0 && need.gpus > team->limit.gpus + Resources::slack)) {
         return "more than the team's limit";
     }
+    if (s.kind == JobKind::gang && s.tasks > largest_gang(ctx_)) {
+        return fmt::format("a gang of more than {} tasks can't be started whole",
+                           largest_gang(ctx_));
+    }
     return "";
 }
 
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -56,6 +56,18 @@
     EXPECT_EQ(w.submit_and_wait(0, array).status, 201);
 }
 
+TEST_F(Story, AGangThatOneChangeCanNotClaimIsRefusedAndTheLargestOthersStart) {
+    w.settings.state_value_kb = w.settings.state_value_kb_today = 2;
+    w.settings.state_txn_ops = 4;
+    w.value_kb = 2;
+    w.txn_ops = 4;
+    begin();
+    auto gang = w.job(1, JobKind::gang, 126);  // three blocks of 42 and the quota's record
+    EXPECT_EQ(w.submit_and_wait(0, gang).status, 201);
+    EXPECT_EQ(w.submit_and_wait(0, w.job(2, JobKind::gang, 127)).status, 422);
+    EXPECT_TRUE(w.until([&] { return w.finished("req-000001"); }, 120));
+}
+
 TEST_F(Story, AKnownJobIsNeverToldThatItIsMalformedOrImpossible) {
     begin();
     EXPECT_EQ(w.submit_and_wait(0, w.job(1)).status, 201);
