--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -308,10 +308,15 @@
 inline constexpr double fleet_word_every_s = 10.0;
 // s between provisioning decisions
 inline constexpr double provision_every_s = 0.5;
-// jobs that wait from which on decisions come less often, and how many times less often at the
-// most: a machine takes as long as half a minute to come, so seconds still don't matter
+// jobs that wait from which on all of them are looked at less often, and how many times less often
+// at the most. For rentals: a machine takes as long as half a minute to come, so seconds still
+// don't matter
 inline constexpr double plan_jobs = 300;
 inline constexpr double plan_rarely = 6;
+// the same for rounds: a claim takes longer than that to be written and told in any case
+inline constexpr double round_rarely = 2;
+// the same for looks for work that must make room
+inline constexpr double preempt_rarely = 3;
 // s looked back to tell how often whole machines are asked for
 inline constexpr double arrivals_s = 120.0;
 // standard deviations of the machines asked for during a boot that are kept empty: as many as
--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -119,6 +119,10 @@
     return it == waiting_.end() || !current() ? nullptr : it->second.get();
 }
 
+double Flows::rarely(double most) const {
+    return std::clamp(static_cast<double>(waiting_.size()) / constants::plan_jobs, 1.0, most);
+}
+
 double Flows::waited_s(const std::string& uid) const {
     const Waiting* w = find(uid);
     return w == nullptr ? 0 : ctx_.now.steady - w->open_since;
--- a/src/core/flows.hpp
+++ b/src/core/flows.hpp
@@ -49,6 +49,10 @@
         return it == lacks_.end() ? 0 : it->second;
     }
 
+    // How many times less often than usual all that waits is to be looked at, at the most `most`
+    // times: the more waits the longer a look takes, and the less a moment more matters to it.
+    double rarely(double most) const;
+
     // nullptr: the job has no tasks to place
     const Waiting* find(const std::string& uid) const;
     // How long the job has had tasks to place, as far as this process has seen, in s.
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -113,10 +113,7 @@
     // Guards against a second fleet: a process that has just started knows no machines, and would
     // rent for every job as if there were none.
     if (list_read_ && t >= next_plan_) {
-        // The more waits the longer a plan takes, and the less one more task changes it.
-        double open = static_cast<double>(ctx_.jobs.open().size());
-        next_plan_ = t + constants::provision_every_s *
-                             std::clamp(open / constants::plan_jobs, 1.0, constants::plan_rarely);
+        next_plan_ = t + constants::provision_every_s * flows_.rarely(constants::plan_rarely);
         rent();
         return_idle();
     }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -873,7 +873,8 @@
     if (!ctx_.member || !members_.in_contact()) {
         return;
     }
-    if (ctx_.now.steady - last_round_ >= constants::round_every_s) {
+    double every = constants::round_every_s * flows_.rarely(constants::round_rarely);
+    if (ctx_.now.steady - last_round_ >= every) {
         round();
     }
 }
--- a/src/core/sheets.cpp
+++ b/src/core/sheets.cpp
@@ -153,18 +153,14 @@
 
 // Whether a record of sheets has nothing that anybody needs, and nobody will write it again.
 bool Sheets::retired(const std::string& key) const {
-    if (open_.count(key) != 0 || count_kept(key) > 0) {
-        return false;
-    }
     auto prefix = prefix_of(ctx_.me.id);
     const auto& table = ctx_.jobs.table();
-    if (key.compare(0, prefix.size(), prefix) == 0) {
-        return !table || !table->shared;
-    }
     const auto& epoch = ctx_.jobs.epoch();
+    bool mine = key.compare(0, prefix.size(), prefix) == 0;
     bool leading = epoch && !epoch->members.empty() && epoch->members.front().id == ctx_.me.id;
-    auto id = std::stoull(key.substr(4));
-    return leading && !epoch->has(id);
+    bool over =
+        mine ? !table || !table->shared : leading && !epoch->has(std::stoull(key.substr(4)));
+    return over && open_.count(key) == 0 && count_kept(key) == 0;
 }
 
 void Sheets::tick() {
