The door: every class has its turn, and the one with most waiting makes room

Need: submissions stood in one queue, first come, first served; beyond 2,000 open requests everybody was refused, polls too, with Retry-After of 1 s whatever waits. Change: src/admission/door, start-time fair queueing over classes of teams; the flow with most waiting makes room and is told to come back by how fast the queue moves (1 to 8 s, spread by uid).

--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/constants.hpp"
 #include "core/types.hpp"
 
 namespace cranemoor::core {
@@ -107,6 +108,7 @@
     std::string state;                          // queued, running, done, cancelled
     std::optional<std::pair<int, int>> counts;  // done, running
     std::string error;
+    int retry_after_s = constants::retry_after_s;  // with 503
 };
 
 struct WorkerReply {
--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -210,6 +210,11 @@
 inline constexpr double count_prune_s = 10.0;
 // s; what a user is told to wait when the service can't take the request now
 inline constexpr int retry_after_s = 1;
+// the same at the most, for submissions that found no place in the queue: of their 60 s it leaves
+// half a dozen tries
+inline constexpr int retry_after_most_s = 8;
+// s over which jobs accepted are counted to tell how fast the queue moves
+inline constexpr double accepted_window_s = 5;
 // s a user's request may wait for the state service: below the users' own 2 s for a poll
 inline constexpr double user_wait_s = 1.8;
 // s a submission or cancellation may wait: below the users' own 5 s
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -101,6 +101,87 @@
     reply(request, 503, uid, "", "not able to decide now");
 }
 
+// Where its flow stands, spread so that those sent away together don't come back together.
+int Requests::turn_in_s(const std::string& uid) const {
+    std::size_t lately = 0;
+    for (const auto& [at, jobs] : accepted_) {
+        lately += ctx_.now.steady - at < constants::accepted_window_s ? jobs : 0;
+    }
+    double rate = std::max(1.0, static_cast<double>(lately) / constants::accepted_window_s);
+    int soon = static_cast<int>(static_cast<double>(door_.waiting()) / rate);
+    int most = std::clamp(soon, constants::retry_after_s, constants::retry_after_most_s);
+    return 1 + static_cast<int>(stable_hash(uid) % static_cast<std::uint64_t>(most));
+}
+
+void Requests::turn_away(std::uint64_t request, const std::string& uid) {
+    UserReply r;
+    r.request = request;
+    r.uid = uid;
+    r.error = "too many submissions wait";
+    r.retry_after_s = turn_in_s(uid);
+    answer(std::move(r));
+}
+
+// Guards against one class of which thousands wait: no other's submissions, and nobody's questions,
+// are refused for them.
+bool Requests::has_room(const admission::FlowName& flow) {
+    if (open_.size() < constants::user_queue_max) {
+        return true;
+    }
+    auto longest = door_.longest(flow);
+    if (!longest) {
+        return false;
+    }
+    Acceptance last = pull_back(*longest);
+    for (auto request : last.requests) {
+        if (take(request)) {
+            turn_away(request, last.spec.uid);
+        }
+    }
+    return open_.size() < constants::user_queue_max;
+}
+
+void Requests::enqueue(Acceptance a) {
+    auto flow = flow_of(a.spec);
+    door_.enter(flow);
+    accepting_[flow].push_back(std::move(a));
+}
+
+Requests::Acceptance* Requests::first() {
+    while (auto flow = door_.next()) {
+        Acceptance& a = accepting_.at(*flow).front();
+        std::erase_if(a.requests, [&](std::uint64_t r) { return !take(r); });
+        if (!a.requests.empty()) {
+            return &a;
+        }
+        pull(false);
+    }
+    return nullptr;
+}
+
+// Takes the one whose turn it is out of the queue.
+Requests::Acceptance Requests::pull(bool served) {
+    auto queue = accepting_.find(*door_.next());
+    Acceptance a = std::move(queue->second.front());
+    queue->second.pop_front();
+    door_.leave(queue->first, served);
+    if (queue->second.empty()) {
+        accepting_.erase(queue);
+    }
+    return a;
+}
+
+Requests::Acceptance Requests::pull_back(const admission::FlowName& flow) {
+    auto queue = accepting_.find(flow);
+    Acceptance a = std::move(queue->second.back());
+    queue->second.pop_back();
+    door_.leave(flow, false);
+    if (queue->second.empty()) {
+        accepting_.erase(queue);
+    }
+    return a;
+}
+
 bool Requests::take(std::uint64_t request) {
     return open_.count(request) != 0;
 }
@@ -129,8 +210,7 @@
 
 void Requests::freshly(std::uint64_t request, const std::string& uid, double wait_s,
                        std::function<void()> then) {
-    if (!ctx_.jobs.loaded() || !members_.in_contact() ||
-        open_.size() >= constants::user_queue_max) {
+    if (!ctx_.jobs.loaded() || !members_.in_contact() || !has_room({})) {
         busy(request, uid);
         return;
     }
@@ -264,11 +344,15 @@
     std::string why = refusal(spec);
     bool known = ctx_.jobs.find(spec.uid) != nullptr || on_way_.count(spec.uid) != 0;
     if (why.empty() && !known && spec.follows.empty()) {
-        open_[request] = {spec.uid, ctx_.now.steady + constants::submit_wait_s, nullptr};
-        if (!members_.in_contact() || open_.size() > constants::user_queue_max) {
+        if (!members_.in_contact()) {
             busy(request, spec.uid);
             return;
         }
+        if (!has_room(flow_of(spec))) {
+            turn_away(request, spec.uid);
+            return;
+        }
+        open_[request] = {spec.uid, ctx_.now.steady + constants::submit_wait_s, nullptr};
         accept(request, spec, constants::accept_tries);
         return;
     }
@@ -341,9 +425,11 @@
         busy(request, spec.uid);
         return;
     }
-    for (auto& a : accepting_) {
-        if (a.spec.uid == spec.uid) {
-            a.requests.push_back(request);
+    for (auto& [flow, queue] : accepting_) {
+        auto same = std::find_if(queue.begin(), queue.end(),
+                                 [&](const auto& a) { return a.spec.uid == spec.uid; });
+        if (same != queue.end()) {
+            same->requests.push_back(request);
             return;
         }
     }
@@ -352,7 +438,7 @@
     a.spec = spec;
     a.tries = tries;
     a.cancelled = cancelled;
-    accepting_.push_back(std::move(a));
+    enqueue(std::move(a));
     write_accepted();
 }
 
@@ -373,32 +459,26 @@
         Json jobs = Json::array();
         std::size_t room =
             ctx_.value_max() - std::min(ctx_.value_max(), constants::listing_frame_bytes);
-        while (!accepting_.empty()) {
-            Acceptance& a = accepting_.front();
-            std::erase_if(a.requests, [&](std::uint64_t r) { return !take(r); });
-            if (a.requests.empty()) {
-                accepting_.pop_front();
-                continue;
-            }
+        while (Acceptance* waiting = first()) {
+            Acceptance& a = *waiting;
             const auto& uid = a.spec.uid;
             JobRecord record = new_record(a);
             if (record.waiting && a.parts == 0 && bytes_of(record) > ctx_.value_max()) {
-                Acceptance long_one = std::move(a);
-                accepting_.pop_front();
-                write_parts(long_one);
+                write_parts(pull(true));
                 continue;
             }
             bool own = record.waiting || a.spec.tasks > record.block_size;
             Json value = encode(record);
-            if (value.dump().size() > ctx_.value_max()) {
+            std::size_t size = value.dump().size();
+            if (size > ctx_.value_max()) {
                 // Names of hundreds of odd letters: no record of it can be kept.
-                for (auto request : a.requests) {
-                    reply(request, 422, uid, "", "the job's description is too long");
+                Acceptance long_one = pull(true);
+                for (auto request : long_one.requests) {
+                    reply(request, 422, long_one.spec.uid, "", "the job's description is too long");
                 }
-                accepting_.pop_front();
                 continue;
             }
-            std::size_t bytes = own ? 0 : value.dump().size() + 1;
+            std::size_t bytes = own ? 0 : size + 1;
             // Of a listing there is one write more.
             std::size_t writes =
                 txn.writes.size() + (own || jobs.empty() ? 1 : 0) + (own && !jobs.empty() ? 1 : 0);
@@ -419,8 +499,7 @@
             } else {
                 jobs.push_back(std::move(value));
             }
-            batch.push_back(std::move(a));
-            accepting_.pop_front();
+            batch.push_back(pull(true));
         }
         if (batch.empty()) {
             return;
@@ -476,7 +555,7 @@
                           std::vector<std::vector<std::string>> parts) {
     auto n = static_cast<std::size_t>(a->parts);
     if (n == parts.size()) {
-        accepting_.push_back(std::move(*a));
+        enqueue(std::move(*a));
         write_accepted();
         return;
     }
@@ -501,6 +580,9 @@
 }
 
 void Requests::accepted(const std::vector<Acceptance>& batch, const StateReply& r) {
+    if (r.status == StateReply::Status::ok) {
+        accepted_.emplace_back(ctx_.now.steady, batch.size());
+    }
     for (const auto& a : batch) {
         const auto& uid = a.spec.uid;
         if (r.status == StateReply::Status::ok) {
@@ -615,6 +697,9 @@
     if (ctx_.now.steady >= next_prune_) {
         next_prune_ = ctx_.now.steady + constants::count_prune_s;
         std::erase_if(counts_, [&](const auto& c) { return ctx_.now.steady >= c.second.until; });
+        std::erase_if(accepted_, [&](const auto& a) {
+            return ctx_.now.steady - a.first >= constants::accepted_window_s;
+        });
     }
     std::vector<std::uint64_t> late;
     for (const auto& [request, w] : open_) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/door.hpp"
 #include "core/budget.hpp"
 #include "core/context.hpp"
 #include "core/dependencies.hpp"
@@ -61,6 +63,11 @@
     void reply_finished(std::uint64_t request, const std::string& uid, const Finished& f,
                         bool counts);
     void busy(std::uint64_t request, const std::string& uid);
+    // The same for a submission that the queue has no place for.
+    void turn_away(std::uint64_t request, const std::string& uid);
+    // Whether one more request may wait; a submission of the flow that has most waiting makes room.
+    bool has_room(const admission::FlowName& flow);
+    int turn_in_s(const std::string& uid) const;
     // Runs `then` with records at least as fresh as this moment; gives up with 503.
     void freshly(std::uint64_t request, const std::string& uid, double wait_s,
                  std::function<void()> then);
@@ -82,6 +89,12 @@
         Revision parts_revision = 0;  // of the last of them
         bool cancelled = false;       // with one that it follows
     };
+    static admission::FlowName flow_of(const JobSpec& spec) { return {spec.team, spec.job_class}; }
+    void enqueue(Acceptance a);
+    // Whose turn it is, among those whose askers still wait; nullptr: nobody's.
+    Acceptance* first();
+    Acceptance pull(bool served);
+    Acceptance pull_back(const admission::FlowName& flow);
     JobRecord new_record(const Acceptance& a) const;
     void accept_dependent(std::uint64_t request, const JobSpec& spec);
     void write_parts(const Acceptance& a);
@@ -101,11 +114,13 @@
     Quota& quota_;
     const Dependencies& dependencies_;
     std::map<std::uint64_t, Waiting> open_;
-    std::vector<std::uint64_t> queued_;  // for the next read check
-    std::deque<Acceptance> accepting_;
-    std::set<std::string> on_way_;  // accepted here, not yet in the copy
-    std::size_t accepts_open_ = 0;  // records of accepted jobs on their way
-    double next_accept_ = 0;        // while writes are short
+    std::vector<std::uint64_t> queued_;                                // for the next read check
+    std::map<admission::FlowName, std::deque<Acceptance>> accepting_;  // none of them empty
+    admission::Door door_;                                             // to them
+    std::deque<std::pair<double, std::size_t>> accepted_;  // jobs accepted lately, and when
+    std::set<std::string> on_way_;                         // accepted here, not yet in the copy
+    std::size_t accepts_open_ = 0;                         // records of accepted jobs on their way
+    double next_accept_ = 0;                               // while writes are short
     std::uint64_t accepted_records_ = 0;
     std::unordered_map<std::string, Count> counts_;  // by job
     double next_prune_ = 0;
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -138,7 +138,7 @@
 void Gateway::act(const core::UserReply& r) {
     // With 503 the connection is closed: the load balancer then picks a node anew.
     bool busy = r.status == 503;
-    front_.reply(r.request, r.status, wire::user_body(r), busy ? c::retry_after_s : 0, busy,
+    front_.reply(r.request, r.status, wire::user_body(r), busy ? r.retry_after_s : 0, busy,
                  sockets::Asker::user);
 }
 
--- /dev/null
+++ b/tests/door_test.cpp
@@ -0,0 +1,92 @@
+// Door: submissions of all flows have their turn, however many one of them sends.
+#include "admission/door.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "story.hpp"
+
+namespace cranemoor::test {
+namespace {
+
+using admission::Door;
+using admission::FlowName;
+
+const FlowName sweep{"red", "sweep"};
+const FlowName desk{"red", "desk"};
+
+TEST(DoorTest, EveryFlowHasItsTurnAndTheLongestMakesRoom) {
+    Door door;
+    for (int i = 0; i < 100; ++i) {
+        door.enter(sweep);
+    }
+    for (int i = 0; i < 10; ++i) {
+        door.leave(*door.next(), true);
+    }
+    door.enter(desk);
+    EXPECT_EQ(door.longest(desk), sweep);
+    EXPECT_EQ(door.longest(sweep), std::nullopt);
+    int turns = 0;
+    while (door.next() != desk) {
+        door.leave(*door.next(), true);
+        ++turns;
+    }
+    EXPECT_LE(turns, 1);  // what the other had while nobody else waited is no debt
+}
+
+// Drawn flows: whoever waits all the time gets at least its part of the turns, nobody who comes and
+// goes more than its own, and there is a turn for as long as anybody waits.
+TEST(DoorTest, HoldsForDrawnFlows) {
+    std::mt19937 rng(11);
+    for (int round = 0; round < 200; ++round) {
+        Door door;
+        std::size_t n = 2 + rng() % 6;
+        auto name = [](std::size_t i) { return FlowName{"team", std::to_string(i)}; };
+        std::vector<std::size_t> waits(n);
+        std::vector<int> turns(n);
+        waits[0] = 1000;
+        for (std::size_t i = 0; i < waits[0]; ++i) {
+            door.enter(name(0));
+        }
+        for (int turn = 0; turn < 600; ++turn) {
+            std::size_t who = rng() % n;
+            for (std::size_t more = rng() % 4; who != 0 && more > 0; --more) {
+                door.enter(name(who));
+                ++waits[who];
+            }
+            auto next = door.next();
+            ASSERT_TRUE(next);
+            auto i = static_cast<std::size_t>(std::stoul(next->second));
+            door.leave(*next, true);
+            --waits[i];
+            ++turns[i];
+        }
+        EXPECT_GE(turns[0], 600 / static_cast<int>(n) - 1);
+        for (std::size_t i = 1; i < n; ++i) {
+            EXPECT_LE(turns[i], turns[0] + 1);
+        }
+    }
+}
+
+TEST_F(Story, OneClassOfWhichThousandsComeKeepsNobodyElseOut) {
+    begin();
+    auto submit = [&](int number, const std::string& job_class) {
+        auto spec = w.job(number, JobKind::array, 1);
+        spec.job_class = job_class;
+        return w.submit(0, spec);
+    };
+    for (std::size_t n = 1; n <= 2 * constants::user_queue_max; ++n) {
+        submit(static_cast<int>(n), "sweep");
+    }
+    auto desk = submit(9000, "desk");
+    auto sent_away = submit(9001, "sweep");
+    EXPECT_EQ(w.answer(desk).status, 201);
+    auto later = w.answer(sent_away);
+    EXPECT_EQ(later.status, 503);
+    EXPECT_GE(later.retry_after_s, 1);
+    EXPECT_LE(later.retry_after_s, constants::retry_after_most_s);
+}
+
+}  // namespace
+}  // namespace cranemoor::test
