Fewer tokens are raised at once after a restart of all

Cause: the worst second of a controller at half as large again is the one after all are restarted: it reads the records while every worker reports and the tokens of all machines are raised, each with a connection and a report more. Change: 10 machines a tick instead of 20.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -241,8 +241,10 @@
 // s between looks for what is remembered of tasks and jobs that are no more: it harms nobody, and a
 // look visits every task
 inline constexpr double forget_every_s = 10.0;
-// machines taken over whose token is raised in one tick
-inline constexpr int raise_per_tick = 20;
+// machines taken over whose token is raised in one tick: each costs a connection and a report to
+// read, in the very seconds after a restart of all in which every worker reports by itself; so many
+// take a third of a large fleet over within five seconds
+inline constexpr int raise_per_tick = 10;
 // s the ends of an array's tasks are collected for one write: nothing waits for them, and each
 // write saved is one that a claim can have
 inline constexpr double outcome_hold_s = 15.0;
