--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -81,6 +81,8 @@
 inline constexpr double floors_every_s = 2.0;
 // gangs of flows below their floor that machines are held for at once: each may keep some idle
 inline constexpr std::size_t floor_holds = 16;
+// s for which they are held: what runs there ends by itself, an array's task within minutes
+inline constexpr double floor_hold_s = 90;
 
 // --- state service ------------------------------------------------------------------------
 // s; an answer later than this is taken as "may have been executed"
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -791,8 +791,11 @@
     }
     double& since = held_since_.try_emplace(s.uid, ctx_.now.steady).first->second;
     double held_for = ctx_.now.steady - since;
-    if (held_for > ctx_.tunables.gang_hold_s) {
-        if (held_for > 2 * ctx_.tunables.gang_hold_s) {
+    // Of a flow below its floor work that runs out must be waited for: while it is short of room,
+    // what others start there takes minutes.
+    double hold_s = waiting.ahead ? constants::floor_hold_s : ctx_.tunables.gang_hold_s;
+    if (held_for > hold_s) {
+        if (held_for > hold_s + ctx_.tunables.gang_hold_s) {
             held_since_.erase(s.uid);
         }
         return;
@@ -832,7 +835,7 @@
             break;
         }
         ++held;
-        holds_[m->name] = {s.uid, since + ctx_.tunables.gang_hold_s, s.priority};
+        holds_[m->name] = {s.uid, since + hold_s, s.priority};
         ctx_.debug("hold {} for gang {}", m->name, s.uid);
     }
 }
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -47,6 +47,35 @@
     EXPECT_GE(w.running(uid(1)), 8);  // and the urgent class still has more than the other
 }
 
+TEST_F(Story, AGangBelowItsFloorWaitsForWhatRunsOut) {
+    begin();
+    w.capacity = 0;
+    w.run_s = 40;
+    w.add_machine("vm-500000", "a");
+    w.add_machine("vm-500001", "a");
+    int number = 0;
+    auto sweep = [&] {
+        auto spec = w.job(++number);
+        spec.job_class = "sweep";
+        w.submit(0, spec);
+    };
+    // Small tasks that end one after the other, with more waiting than there is room for.
+    for (int i = 0; i < 20; ++i) {
+        sweep();
+        w.run(2.5);
+    }
+    for (int i = 0; i < 100; ++i) {
+        sweep();
+    }
+    auto gang = w.job(1000, JobKind::gang, 2);
+    gang.each = {32, 8, 64};
+    gang.job_class = "gang";
+    w.submit(0, gang);
+    w.run(constants::floor_after_s);
+    EXPECT_EQ(w.running(uid(1000)), 0);  // 20 s at a time are too few
+    EXPECT_TRUE(w.until([&] { return w.running(uid(1000)) == 2; }, w.run_s + 20));
+}
+
 TEST_F(Three, WhileWritesAreShortClaimsOfManyJobsShareARecord) {
     begin(3);
     w.run_s = 30;
