--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -119,6 +119,10 @@
     return it == waiting_.end() || !current() ? nullptr : it->second.get();
 }
 
+double Flows::rarely(double most) const {
+    return std::clamp(static_cast<double>(waiting_.size()) / constants::plan_jobs, 1.0, most);
+}
+
 double Flows::waited_s(const std::string& uid) const {
     const Waiting* w = find(uid);
     return w == nullptr ? 0 : ctx_.now.steady - w->open_since;
@@ -211,8 +215,8 @@
         for (auto& f : flows) {
             f.holds = holds[f.name];
         }
-        auto up = std::count_if(fleet_.machines().begin(), fleet_.machines().end(),
-                                [this](const auto& m) { return fleet_.in_use(m.second); });
+        auto up = std::count_if(fleet_.all().begin(), fleet_.all().end(),
+                                [this](const Machine* m) { return fleet_.in_use(*m); });
         next = admission::lacks(
             flows, static_cast<double>(up),
             {constants::floor_share, constants::floor_idle_share, constants::floor_after_s});
