--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -210,6 +210,11 @@
 inline constexpr double count_prune_s = 10.0;
 // s; what a user is told to wait when the service can't take the request now
 inline constexpr int retry_after_s = 1;
+// the same at the most, for submissions that found no place in the queue: of their 60 s it leaves
+// half a dozen tries
+inline constexpr int retry_after_most_s = 8;
+// s over which jobs accepted are counted to tell how fast the queue moves
+inline constexpr double accepted_window_s = 5;
 // s a user's request may wait for the state service: below the users' own 2 s for a poll
 inline constexpr double user_wait_s = 1.8;
 // s a submission or cancellation may wait: below the users' own 5 s
@@ -236,8 +241,10 @@
 // s between looks for what is remembered of tasks and jobs that are no more: it harms nobody, and a
 // look visits every task
 inline constexpr double forget_every_s = 10.0;
-// machines taken over whose token is raised in one tick
-inline constexpr int raise_per_tick = 20;
+// machines taken over whose token is raised in one tick: each costs a connection and a report to
+// read, in the very seconds after a restart of all in which every worker reports by itself; so many
+// take a third of a large fleet over within five seconds
+inline constexpr int raise_per_tick = 10;
 // s the ends of an array's tasks are collected for one write: nothing waits for them, and each
 // write saved is one that a claim can have
 inline constexpr double outcome_hold_s = 15.0;
