One way out of the queue of submissions; two look-ups nobody calls are gone

Need: the last read of the whole change found two copies of taking a submission out of its queue, and Flows::find and Flows::waited_s without a caller since work is handed on as it stands in its lane. Change: one pull, which says how it left; both look-ups removed.

--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -114,20 +114,10 @@
     return demands_.try_emplace(std::move(text), static_cast<int>(demands_.size())).first->second;
 }
 
-const Flows::Waiting* Flows::find(const std::string& uid) const {
-    auto it = waiting_.find(uid);
-    return it == waiting_.end() || !current() ? nullptr : it->second.get();
-}
-
 double Flows::rarely(double most) const {
     return std::clamp(static_cast<double>(waiting_.size()) / constants::plan_jobs, 1.0, most);
 }
 
-double Flows::waited_s(const std::string& uid) const {
-    const Waiting* w = find(uid);
-    return w == nullptr ? 0 : ctx_.now.steady - w->open_since;
-}
-
 bool Flows::paused(const Waiting& w) const {
     return w.job->fails > 0 && ctx_.now.steady < fleet_.job_pause_until(w.uid);
 }
--- a/src/core/flows.hpp
+++ b/src/core/flows.hpp
@@ -53,10 +53,6 @@
     // times: the more waits the longer a look takes, and the less a moment more matters to it.
     double rarely(double most) const;
 
-    // nullptr: the job has no tasks to place
-    const Waiting* find(const std::string& uid) const;
-    // How long the job has had tasks to place, as far as this process has seen, in s.
-    double waited_s(const std::string& uid) const;
     // This member's place in the order in which members look at a job.
     std::size_t turn(const Job& job) const;
     // Visits the jobs in the order in which they are walked, until the visitor returns false. In a
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -1,6 +1,7 @@
 #include "core/requests.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "core/conversion.hpp"
 
@@ -132,7 +133,7 @@
     if (!longest) {
         return false;
     }
-    Acceptance last = pull_back(*longest);
+    Acceptance last = pull(*longest, Pulled::sent_away);
     for (auto request : last.requests) {
         if (take(request)) {
             turn_away(request, last.spec.uid);
@@ -154,29 +155,20 @@
         if (!a.requests.empty()) {
             return &a;
         }
-        pull(false);
+        pull(*flow, Pulled::given_up);
     }
     return nullptr;
 }
 
-// Takes the one whose turn it is out of the queue.
-Requests::Acceptance Requests::pull(bool served) {
-    auto queue = accepting_.find(*door_.next());
-    Acceptance a = std::move(queue->second.front());
-    queue->second.pop_front();
-    door_.leave(queue->first, served);
-    if (queue->second.empty()) {
-        accepting_.erase(queue);
-    }
-    return a;
-}
-
-Requests::Acceptance Requests::pull_back(const admission::FlowName& flow) {
+// Takes one out of a flow's queue: the one whose turn it is, or the last that came.
+Requests::Acceptance Requests::pull(const admission::FlowName& flow, Pulled how) {
     auto queue = accepting_.find(flow);
-    Acceptance a = std::move(queue->second.back());
-    queue->second.pop_back();
-    door_.leave(flow, false);
-    if (queue->second.empty()) {
+    auto& list = queue->second;
+    auto which = how == Pulled::sent_away ? std::prev(list.end()) : list.begin();
+    Acceptance a = std::move(*which);
+    list.erase(which);
+    door_.leave(flow, how == Pulled::taken);
+    if (list.empty()) {
         accepting_.erase(queue);
     }
     return a;
@@ -464,7 +456,7 @@
             const auto& uid = a.spec.uid;
             JobRecord record = new_record(a);
             if (record.waiting && a.parts == 0 && bytes_of(record) > ctx_.value_max()) {
-                write_parts(pull(true));
+                write_parts(take_first());
                 continue;
             }
             bool own = record.waiting || a.spec.tasks > record.block_size;
@@ -472,7 +464,7 @@
             std::size_t size = value.dump().size();
             if (size > ctx_.value_max()) {
                 // Names of hundreds of odd letters: no record of it can be kept.
-                Acceptance long_one = pull(true);
+                Acceptance long_one = take_first();
                 for (auto request : long_one.requests) {
                     reply(request, 422, long_one.spec.uid, "", "the job's description is too long");
                 }
@@ -499,7 +491,7 @@
             } else {
                 jobs.push_back(std::move(value));
             }
-            batch.push_back(pull(true));
+            batch.push_back(take_first());
         }
         if (batch.empty()) {
             return;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -93,8 +93,9 @@
     void enqueue(Acceptance a);
     // Whose turn it is, among those whose askers still wait; nullptr: nobody's.
     Acceptance* first();
-    Acceptance pull(bool served);
-    Acceptance pull_back(const admission::FlowName& flow);
+    enum class Pulled { taken, given_up, sent_away };
+    Acceptance pull(const admission::FlowName& flow, Pulled how);
+    Acceptance take_first() { return pull(*door_.next(), Pulled::taken); }
     JobRecord new_record(const Acceptance& a) const;
     void accept_dependent(std::uint64_t request, const JobSpec& spec);
     void write_parts(const Acceptance& a);
