Test world: a history of all answers, close looks, and the newer troubles

Change: AnswerHistory keeps every question and answer in order and names the earlier answer that a later one goes back on; a job that is called done and cancelled is named however the answers lie. The world knows close looks, answers lost or late after a transaction was carried out, slow transactions, mute machines, machines that reach one controller only, copies of reports kept for the next leader, forgotten history (410), and boot times.

--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -134,46 +134,7 @@
             } else if (auto* w = std::get_if<WorkerReply>(&action)) {
                 act(i, *w);
             } else if (auto* u = std::get_if<UserReply>(&action)) {
-                replies_[u->request] = *u;
-                log.push_back(fmt::format("{:.3f} n{} reply {} to {}: {} {} {}", now, i, u->request,
-                                          u->uid, u->status, u->state, u->error));
-                if (u->state == "done") {
-                    told_done_.insert(u->uid);
-                    auto spec = specs_.find(u->uid);
-                    if (spec == specs_.end() ||
-                        static_cast<int>(done_tasks_[u->uid].size()) < spec->second.tasks) {
-                        broken.push_back("not_done: " + u->uid);
-                    }
-                    if (known_cancelled_.count(u->request) != 0) {
-                        broken.push_back("went_back: " + u->uid);
-                    }
-                } else if (u->state == "cancelled") {
-                    cancelled_.try_emplace(u->uid, now);
-                    if (!needs(u->uid,
-                               [&](const auto& x) { return asked_cancel_.count(x) != 0; })) {
-                        broken.push_back("went_back (nobody cancelled it): " + u->uid);
-                    }
-                    if (known_done_.count(u->request) != 0) {
-                        broken.push_back("went_back: " + u->uid);
-                    }
-                } else if (!u->state.empty() && (known_cancelled_.count(u->request) != 0 ||
-                                                 known_done_.count(u->request) != 0)) {
-                    broken.push_back("went_back: " + u->uid);
-                } else if (!u->state.empty() && needs(u->uid, [&](const auto& x) {
-                               auto c = cancelled_.find(x);
-                               return c != cancelled_.end() && now > c->second + settings.cancel_s;
-                           })) {
-                    broken.push_back("orphaned: " + u->uid);
-                }
-                if (u->status == 200 || u->status == 201) {
-                    accepted_.insert(u->uid);
-                    if (specs_.count(u->uid) == 0) {
-                        broken.push_back("invented: " + u->uid);
-                    }
-                } else if ((u->status == 404 || u->status == 400 || u->status == 422) &&
-                           known_.count(u->request) != 0) {
-                    broken.push_back("forgotten: " + u->uid);
-                }
+                user_reply(i, *u);
             } else if (auto* l = std::get_if<LogLine>(&action)) {
                 log.push_back(fmt::format("{:.3f} n{} {}", now, i, l->text));
             }
@@ -181,6 +142,55 @@
     }
 }
 
+void World::user_reply(int i, const UserReply& u) {
+    replies_[u.request] = u;
+    log.push_back(fmt::format("{:.3f} n{} reply {} to {}: {} {} {}", now, i, u.request, u.uid,
+                              u.status, u.state, u.error));
+    if (auto rule = history_.answered(u, now); !rule.empty()) {
+        broken.push_back(rule);
+    }
+    if (u.state == "done") {
+        auto spec = specs_.find(u.uid);
+        if (spec == specs_.end() ||
+            static_cast<int>(done_tasks_[u.uid].size()) < spec->second.tasks) {
+            broken.push_back("not_done: " + u.uid);
+        }
+    } else if (u.state == "cancelled") {
+        cancelled_.try_emplace(u.uid, now);
+        if (!needs(u.uid, [&](const auto& x) { return asked_cancel_.count(x) != 0; })) {
+            broken.push_back("went_back (nobody cancelled it): " + u.uid);
+        }
+    } else if (!u.state.empty() && needs(u.uid, [&](const auto& x) {
+                   auto c = cancelled_.find(x);
+                   return c != cancelled_.end() && now > c->second + settings.cancel_s;
+               })) {
+        broken.push_back("orphaned: " + u.uid);
+    }
+    if ((u.status == 200 || u.status == 201) && specs_.count(u.uid) == 0) {
+        broken.push_back("invented: " + u.uid);
+    }
+    bool looked = looks_.count(u.request) != 0 || specs_.count(u.uid) == 0;
+    if (close_looks && !u.state.empty() && !looked) {
+        look_closely(u.uid);
+    }
+}
+
+void World::look_closely(const std::string& uid) {
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+        for (int k = 0; k < 3; ++k) {
+            after(delay(), [=, this] {
+                // After ask() and before the answer, which may come at once.
+                looks_.insert(next_request_ + 1);
+                if (k < 2) {
+                    poll(i, uid);
+                } else {
+                    submit(i, specs_.at(uid));
+                }
+            });
+        }
+    }
+}
+
 // --- state service
 
 bool World::accepted(const std::string& uid) const {
@@ -350,11 +360,12 @@
     bool txn = call.kind == StateCall::Kind::txn;
     double held = txn && hold_txn ? hold_txn(call.txn) : 0;
     bool late = held > 0 || (txn && chance(late_txn));
-    bool lost = late || chance(lost_answers);
+    double answer_s = txn && late_answer ? late_answer(call.txn) : 0;
+    bool lost = late || chance(lost_answers) || answer_s >= constants::state_timeout_s;
     // Late ones follow newer ones of the same node.
     double wait = held > 0 ? held
                   : late   ? std::uniform_real_distribution<double>(2, 12)(random_)
-                           : delay();
+                           : delay() + (txn && slow_txn ? slow_txn(call.txn) : 0);
     after(wait, [=, this] {
         StateReply reply;
         if (state_down || state_refused.count(i) != 0) {
@@ -363,7 +374,7 @@
             reply = execute(call);
         }
         if (!lost) {
-            after(state_answer_s + delay(), [=, this] {
+            after(state_answer_s + answer_s + delay(), [=, this] {
                 to_node(i, generation,
                         [=, this](Controller& c) { c.state_reply(time(), call.id, reply); });
             });
@@ -389,6 +400,15 @@
                 news.push_back(e);
             }
         }
+        if (w.since < forgotten_ && state_refused.count(w.node) == 0) {
+            after(delay(), [this, w] {
+                StateReply r;
+                r.status = StateReply::Status::compacted;
+                to_node(w.node, w.generation,
+                        [=, this](Controller& c) { c.state_reply(time(), w.id, r); });
+            });
+            continue;
+        }
         w.dead = w.dead || state_refused.count(w.node) != 0;
         if (state_refused.count(w.node) != 0 || (now < w.until && (news.empty() || w.dead))) {
             watches_.push_back(w);
@@ -465,7 +485,7 @@
                 machines_rented += count;
                 for (int k = 0; k < count; ++k) {
                     std::string name = fmt::format("vm-{:06}", ++next_machine_);
-                    add_machine(name, call.zone, call.spot).up_at = now + 5;
+                    add_machine(name, call.zone, call.spot).up_at = now + boot_s;
                     names.push_back(name);
                 }
             }
@@ -640,14 +660,17 @@
     Report r = make_report(m);
     std::size_t target = m.target;
     int generation = nodes_[target].generation;
-    bool lost =
-        m.zone_cut || workers_cut.count(static_cast<int>(target)) != 0 || !nodes_[target].core;
+    bool lost = m.zone_cut || m.mute || (m.only >= 0 && m.only != static_cast<int>(target)) ||
+                workers_cut.count(static_cast<int>(target)) != 0 || !nodes_[target].core;
     std::string name = m.info.name;
     std::uint64_t session = m.session;
     double sent = now;
     if (!lost && chance(late_report)) {
         report_again(target, r);
     }
+    if (!lost && chance(keep_report)) {
+        kept_.push_back(r);
+    }
     if (!lost) {
         after(delay(), [=, this] {
             to_node(static_cast<int>(target), generation, [=, this](Controller& c) {
@@ -679,11 +702,21 @@
     });
 }
 
+void World::deliver_kept() {
+    for (const auto& report : std::exchange(kept_, {})) {
+        for (auto& n : nodes_) {
+            to_node(static_cast<int>(&n - nodes_.data()), n.generation, [&](Controller& c) {
+                c.report(time(), ++next_request_, report, false);  // nobody waits for its answer
+            });
+        }
+    }
+}
+
 void World::got_reply(const std::string& name, std::uint64_t session, double sent,
                       std::size_t target, const WorkerReply& reply) {
     auto it = machines.find(name);
     if (it == machines.end() || it->second.deleted || it->second.sent_at != sent ||
-        !it->second.in_flight || it->second.zone_cut || it->second.deaf) {
+        !it->second.in_flight || it->second.zone_cut || it->second.deaf || it->second.mute) {
         return;
     }
     FakeMachine& m = it->second;
@@ -833,7 +866,8 @@
         OrderReply reply;
         auto it = machines.find(call.address);
         bool way = it != machines.end() && !it->second.deleted && !it->second.zone_cut &&
-                   !it->second.deaf && now >= it->second.up_at && workers_cut.count(i) == 0;
+                   !it->second.deaf && now >= it->second.up_at &&
+                   (it->second.only < 0 || it->second.only == i) && workers_cut.count(i) == 0;
         bool reach = way && !it->second.hangs;
         auto carry_out = [this, call, name = call.address] {
             FakeMachine& m = machines[name];
@@ -941,15 +975,7 @@
 // What users had been told when they asked: only an answer older than that breaks a rule.
 std::uint64_t World::ask(const std::string& uid) {
     std::uint64_t request = ++next_request_;
-    if (accepted_.count(uid) != 0) {
-        known_.insert(request);
-    }
-    if (cancelled_.count(uid) != 0) {
-        known_cancelled_.insert(request);
-    }
-    if (told_done_.count(uid) != 0) {
-        known_done_.insert(request);
-    }
+    history_.asked(request, uid, now);
     return request;
 }
 
@@ -961,6 +987,13 @@
     return request;
 }
 
+std::uint64_t World::submit_malformed(int i, const std::string& uid) {
+    std::uint64_t request = ask(uid);
+    to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
+            [=, this](Controller& c) { c.invalid(time(), request, uid, "tasks: missing"); });
+    return request;
+}
+
 std::uint64_t World::poll(int i, const std::string& uid) {
     std::uint64_t request = ask(uid);
     to_node(i, nodes_[static_cast<std::size_t>(i)].generation,
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "answer_history.hpp"
 #include "core/controller.hpp"
 
 namespace cranemoor::test {
@@ -36,6 +37,8 @@
     bool fails_tasks = false;
     bool zone_cut = false;  // unreachable for everybody
     bool deaf = false;      // its reports arrive, answers and direct commands to it are lost
+    int only = -1;          // the one controller that it reaches and that reaches it
+    bool mute = false;      // its reports reach nobody, direct commands reach it
     std::vector<std::function<void()>> held;  // commands that came while it hung
     Token token = 0;
     std::uint64_t session = 1;
@@ -64,12 +67,18 @@
     // Stands still while its clocks run on: what comes meanwhile waits, until it goes on.
     void freeze(int node);
     void thaw(int node);
+    // The copies of reports that were kept reach every controller, whoever runs there now.
+    void deliver_kept();
+    // Watches that lag behind have to read everything again.
+    void forget_history() { forgotten_ = ++tide_; }
     // The others hear a heartbeat of a node that runs a version without leases between controllers.
     void heartbeat_of_version_before(int node);
     void run(double seconds);
     // Runs until it holds; false after that many seconds.
     bool until(const std::function<bool()>& holds, double seconds);
     std::uint64_t submit(int node, const JobSpec& spec);
+    // One that lacks a field.
+    std::uint64_t submit_malformed(int node, const std::string& uid);
     std::uint64_t poll(int node, const std::string& uid);
     std::uint64_t cancel(int node, const std::string& uid);
     // Waits for the answer of a request.
@@ -114,10 +123,18 @@
     double lost_answers = 0;  // probability that an answer of the state service is lost
     double late_txn = 0;      // probability that a transaction is executed late, without an answer
     double late_report = 0;   // probability that a copy of a report arrives once more, late
+    double keep_report = 0;   // probability that a copy of a report is kept, see deliver_kept()
+    // After each answer that says accepted, cancelled or done, users ask all nodes within
+    // milliseconds and submit the job again.
+    bool close_looks = false;
+    double boot_s = 5;                           // until a rented machine is up
     std::set<int> version_before;                // nodes whose heartbeats say nothing of leases
     double state_answer_s = 0;                   // until an answer of the state service goes out
     double slow = 0;                             // probability that a message takes long
     std::function<double(const Txn&)> hold_txn;  // s until it is carried out, without an answer
+    // s from when it is carried out to its answer; from the client's patience on there is none
+    std::function<double(const Txn&)> late_answer;
+    std::function<double(const Txn&)> slow_txn;  // s until it is carried out and answered
     std::function<bool(const Txn&)> refuse_txn;  // answered as if it were over the limit
     int capacity = 1000;
     double list_lag_s = 0;       // until the cloud lists a new machine
@@ -198,6 +215,8 @@
     void check();
     bool needs(const std::string& uid, const std::function<bool(const std::string&)>& what) const;
     std::uint64_t ask(const std::string& uid);
+    void user_reply(int node, const UserReply& reply);
+    void look_closely(const std::string& uid);
     void tick();
 
     std::priority_queue<Item> queue_;
@@ -219,13 +238,11 @@
     std::map<std::string, JobSpec> specs_;
     std::map<std::string, double> cancelled_;          // told to the user
     std::map<std::string, std::set<int>> done_tasks_;  // completed on a worker
-    std::set<std::string> accepted_;
-    std::set<std::string> asked_cancel_;  // by its user
-    std::set<std::string> told_done_;
-    // requests made when their user had been told that the job is accepted, cancelled, done
-    std::set<std::uint64_t> known_;
-    std::set<std::uint64_t> known_cancelled_;
-    std::set<std::uint64_t> known_done_;
+    std::set<std::string> asked_cancel_;               // by its user
+    AnswerHistory history_;
+    std::set<std::uint64_t> looks_;  // requests of close_looks, which bring no others
+    std::vector<Report> kept_;       // see keep_report
+    Revision forgotten_ = 0;         // changes up to then are told to no watch any more
 };
 
 }  // namespace cranemoor::test
