Unused slices come back when what waits would not fit beside them

A member kept half a GPU of a limit of 8 in its slice, which is not near the limit by the share of it that counts; the other 4 that a task needed could be covered by nobody, and it waited for ever although its team was under its limit and a machine had room.

Change: near the limit also means that the largest start that the team waits for (a gang whole, else a task) would not fit beside all slices.

--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -121,6 +121,19 @@
     return t != nullptr && within(ctx_.jobs.used(name) + more, *t);
 }
 
+// What the largest start takes that the team waits for: a gang's tasks together, or one task.
+Resources Quota::largest_start(const std::string& name) const {
+    Resources most;
+    for (const Job* job : ctx_.jobs.open()) {
+        const JobSpec& s = job->spec;
+        if (s.team == name) {
+            Resources r = s.each * (s.kind == JobKind::gang ? s.tasks : 1);
+            most = {std::max(most.cpus, r.cpus), std::max(most.gpus, r.gpus), 0};
+        }
+    }
+    return most;
+}
+
 void Quota::tick() {
     if (!ctx_.member || ctx_.now.steady < next_return_) {
         return;
@@ -137,8 +150,12 @@
             continue;
         }
         // What is unused is given back only where the team is near its limit and another member
-        // might miss it: a slice in hand saves a write with the next claim.
-        Resources near = it->second.total() + t.limit * constants::slice_return_share;
+        // might miss it: a slice in hand saves a write with the next claim. Guards against a job
+        // that waits for ever below its team's limit, since the rest lies in others' slices.
+        Resources share = t.limit * constants::slice_return_share;
+        Resources start = largest_start(t.name);
+        Resources near = it->second.total() + Resources{std::max(share.cpus, start.cpus),
+                                                        std::max(share.gpus, start.gpus), 0};
         Resources used =
             counted(at_least_zero(ctx_.jobs.used(t.name, ctx_.me.id)) + pending_[t.name], t);
         bool surplus = mine->second.gpus > used.gpus + Resources::slack ||
--- a/src/core/quota.hpp
+++ b/src/core/quota.hpp
@@ -28,6 +28,8 @@
     // The slices with what the dead no longer need removed.
     Slices trimmed(const Team& team) const;
 
+    Resources largest_start(const std::string& team) const;
+
     struct Ceiling {
         Revision revision = 0;  // of the record that the slice was given up from
         Resources amount;
