A cancellation depends on the final state; nothing is decided from half of the records

A cancellation depended on the record alone: asked for while the last ends were written, it was confirmed after the job had been called done.

Change: a cancellation depends on the first block as well. answer_accepted looks at the copy. Context::whole says whether the copy is what was true at some moment; without it ticks, answers to workers and to users wait, and so does what waits for a revision.

--- a/src/core/constants.hpp
+++ b/src/core/constants.hpp
@@ -56,6 +56,10 @@
 inline constexpr std::size_t handed_over_bytes = 49152;
 // bytes that one of them takes beside the job's name
 inline constexpr std::size_t handed_over_frame_bytes = 24;
+// s for which cancellations that users were told of may be unknown here when a task is started:
+// what asking and the answer take on a bad day. A lease is renewed for much longer, since it ends
+// by itself; a start is only held back until the next answer
+inline constexpr double start_known_s = 2.0;
 // s after which the state service is asked for its revision, if no other answer named it: a second
 // is little beside the time that workers may be answered without
 inline constexpr double copy_time_every_s = 1.0;
@@ -297,6 +301,9 @@
 // s before a spot machine's end, beside the time to save, at which its tasks are told to: two looks
 // at the machine and a command that must be repeated
 inline constexpr double spot_save_margin_s = 3.0;
+// s between releases that are asked for without contact with the state service: one call of the
+// cloud's few a second, by each member
+inline constexpr double release_unwritten_s = 1.0;
 // fraction of cancel_s after which a machine that still has a cancelled task is released
 inline constexpr double cancel_fence_share = 0.4;
 // the same if its owner has just taken it over and may still hear that the task has ended: late
--- a/src/core/context.hpp
+++ b/src/core/context.hpp
@@ -101,7 +101,7 @@
 
     // Runs `then` once the copy of the records has reached a revision.
     void when_at(Revision revision, std::function<void()> then) {
-        if (jobs.loaded() && jobs.revision() >= revision) {
+        if (whole && jobs.revision() >= revision) {
             then();
         } else {
             waiting_.emplace(revision, std::move(then));
@@ -151,6 +151,10 @@
     Pressure pressure;
     std::vector<Action> out;
 
+    // Whether the copy is what was true at some moment. It is not while everything is read anew,
+    // page by page: a job whose record is still to come looks as if it were none, and its blocks as
+    // if they had outlived it. Kept by Membership.
+    bool whole = false;
     // This process's membership; id 0 while it is in no epoch. Kept by Membership.
     Member me;
     bool member = false;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -45,6 +45,12 @@
 void Controller::tick(Now now) {
     ctx_.now = now;
     members_.tick();
+    if (!ctx_.whole) {
+        // Guards against decisions from half of the records, while they are read anew: blocks of
+        // jobs that are still to come would be removed, machines that still run tasks returned.
+        requests_.tick();
+        return;
+    }
     accord_.tick();
     sheets_.tick();
     flows_.tick();
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -43,7 +43,7 @@
 void Membership::load(const std::string& after, Revision base) {
     if (after.empty()) {
         ctx_.jobs.begin_load();
-        consistent_ = false;
+        ctx_.whole = false;
     }
     loading_ = true;
     StateCall call;
@@ -134,7 +134,7 @@
         ctx_.member = in;
         epoch_before_ = epoch;
     }
-    consistent_ = true;
+    ctx_.whole = true;
     noted_ = false;
     if (on_change) {
         on_change(changed, before);
@@ -412,7 +412,7 @@
 }
 
 void Membership::take_in_noted() {
-    if (noted_ && consistent_ && on_change) {
+    if (noted_ && ctx_.whole && on_change) {
         noted_ = false;
         on_change(false, epoch_before_);
     }
@@ -443,7 +443,7 @@
 // Guards against the gap: refused alone, while another controller confirms cancellations, and then
 // an outage for all, longer than cancel_s, in which "nobody has contact" says nothing of before.
 bool Membership::may_answer_workers() const {
-    if (!ctx_.member || !ctx_.jobs.loaded()) {
+    if (!ctx_.member || !ctx_.whole) {
         return false;
     }
     // Refused alone: the sooner its workers move, the sooner their work goes on.
@@ -456,6 +456,11 @@
     return ctx_.now.steady - known < std::max(limit, constants::contact_lost_s);
 }
 
+bool Membership::may_start() const {
+    double known = leases_->known_until(copy_time_.at());
+    return ctx_.now.steady - known < constants::start_known_s;
+}
+
 bool Membership::healthy() const {
     if (!ctx_.member) {
         return false;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -43,6 +43,9 @@
     bool peers_lack_contact() const;
     // Rule 8: whether this process may still answer its workers, and so renew their leases.
     bool may_answer_workers() const;
+    // Whether a task may be started now: only while every cancellation that users were told of
+    // until a moment ago is known here.
+    bool may_start() const;
     // A cancellation that is durable, whatever the copy shows yet.
     void note_cancelled(const std::string& uid, double wall);
     // Whether users may be told of a cancellation; not while a peer relies on being told first.
@@ -94,7 +97,6 @@
     std::optional<read_leases::ReadLeases> leases_;  // from the start on
     bool asking_copy_time_ = false;
     bool read_once_ = false;    // all records, since the start
-    bool consistent_ = false;   // what was read was true together at some moment
     bool noted_ = false;        // a cancellation, which the others here still have to see
     bool had_contact_ = false;  // as the peers were told last
     bool relied_ = false;
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -206,7 +206,7 @@
 
 void Requests::freshly(std::uint64_t request, const std::string& uid, double wait_s,
                        std::function<void()> then) {
-    if (!ctx_.jobs.loaded() || !members_.in_contact() || !has_room({})) {
+    if (!ctx_.whole || !members_.in_contact() || !has_room({})) {
         busy(request, uid);
         return;
     }
@@ -595,7 +595,7 @@
                 continue;
             }
             if (r.status == StateReply::Status::ok) {
-                reply(request, 201, uid, a.cancelled ? "cancelled" : "queued");
+                answer_accepted(request, a);
             } else if (r.status != StateReply::Status::conflict) {
                 busy(request, uid);
             } else {
@@ -607,6 +607,22 @@
     }
 }
 
+// Guards against an answer that comes late and is older than what others told meanwhile: what the
+// copy knows of the job's end goes before "queued".
+void Requests::answer_accepted(std::uint64_t request, const Acceptance& a) {
+    const auto& uid = a.spec.uid;
+    const Job* job = ctx_.jobs.find(uid);
+    if (const Finished* f = known_final(uid)) {
+        reply_finished(request, uid, *f, false);
+    } else if (job != nullptr && job->cancelled) {
+        reply_job(request, 201, *job, false);
+    } else if (a.cancelled && !members_.may_tell_cancellations()) {
+        busy(request, uid);
+    } else {
+        reply(request, 201, uid, a.cancelled ? "cancelled" : "queued");
+    }
+}
+
 // After a conflict, which may be another job's of the same record, or the epoch's.
 void Requests::accept_again(std::uint64_t request, const JobSpec& spec, int tries, bool cancelled) {
     if (!take(request)) {
@@ -658,6 +674,9 @@
     JobRecord record = job->record();
     record.cancelled_wall = when;
     if (job->own_record) {
+        // Guards against a job that is called done and then cancelled: its final state stands in
+        // the first block and leaves the job's own record as it is.
+        txn.conditions.push_back({keys::block(uid, 0), job->first_record().revision});
         txn.writes = {{keys::job(uid), encode(record)}};
     } else if (bytes_of(job->block(0)) > ctx_.value_max()) {
         // Its block can't be put again: a record of its own goes before the one that it shares.
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -104,6 +104,7 @@
     void accept(std::uint64_t request, const JobSpec& spec, int tries, bool cancelled = false);
     void write_accepted();
     void accepted(const std::vector<Acceptance>& batch, const StateReply& reply);
+    void answer_accepted(std::uint64_t request, const Acceptance& a);
     void accept_again(std::uint64_t request, const JobSpec& spec, int tries, bool cancelled);
     void do_cancel(std::uint64_t request, const std::string& uid, int tries);
     // Removes a request from the waiting ones; false if it was answered already.
