Machines that hang with a cancelled task are released also while nothing can be written

A machine that hung with a cancelled task through an outage longer than cancel_s was released by nobody; so was one whose mark was durable when the outage began.

Change: without contact, who may still answer its workers asks the cloud to release machines that are past the time for a cancelled task, do not report and do not answer a probe, and those marked so. Nothing is concluded from it: once there is contact the machine is found silent, marked and released again, and that answer is the proof. Stops are repeated also on marked machines. A task starts only while every cancellation told until 2 s ago is known; its answer waits for that for as long as answers wait for claims.

Shown by: Cancellation.* and Limits.*; without the release two of them fail; without the probe Gap.TheSameWhenTheOldLeaderWasRemovedMeanwhile does, since it would release a healthy machine.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -338,8 +338,8 @@
 }
 
 bool Fleet::wants_start(const Machine& m, const Job& job) const {
-    return !job.cancelled && !site(m).mark && !m.marking && !m.notice_until && !gang_broken(job) &&
-           !job.stopping();
+    return !job.cancelled && !job.final && !site(m).mark && !m.marking && !m.notice_until &&
+           !gang_broken(job) && !job.stopping();
 }
 
 void Fleet::exited(Machine& m, const TaskStatus& s) {
@@ -492,9 +492,10 @@
                     {Command::Kind::stop, attempt.first, attempt.second, s->second.grace_s});
             }
         }
+        bool may_start = members_.may_start();
         for (const auto& [id, on] : site(m).tasks) {
             const Placement* p = on.place;
-            if (!wants_start(m, *on.job)) {
+            if (!may_start || !wants_start(m, *on.job)) {
                 continue;
             }
             Attempt attempt{id, p->attempt};
@@ -545,6 +546,9 @@
         news = news || on.job->cancelled || on.job->spec.kind != JobKind::service ||
                t == m.tasks.end() || t->second.state != TaskState::running;
     }
+    if (start_due && !late && !members_.may_start()) {
+        return;  // the next answer of the state service is a moment away
+    }
     bool offer = !start_due && usable(m);
     if (offer && !late && !m.considered) {
         return;  // the next round is a moment away
@@ -962,8 +966,10 @@
         }
         ++it;
         note_empty(m);
-        if (ctx_.member && m.mine && !site(m).mark) {
+        if (ctx_.member && m.mine) {
             repeat_stops(m);
+        }
+        if (ctx_.member && m.mine && !site(m).mark) {
             save_in_time(m);
             look_after(m, silence);
         }
@@ -975,6 +981,36 @@
 // Guards against machines released, with all else that ran on them, for ends that only wait to be
 // written: their work then came back and made the wait longer.
 void Fleet::fence_cancelled() {
+    for (Machine* m : overdue()) {
+        mark(*m, "cancelled task still there", true);
+    }
+}
+
+// Machines that are past the time for a cancelled task and neither report nor answer, and those
+// with a mark that says so: what must be released even by somebody who can write nothing down.
+std::set<std::string> Fleet::overdue_and_silent() {
+    std::set<std::string> names;
+    for (const Machine* m : overdue()) {
+        // Who answers a probe is alive, and only reports to another by now.
+        if (m->probe_failures > 0 &&
+            ctx_.now.steady - std::max(m->last_report, m->owned_since) > silence_s()) {
+            names.insert(m->name);
+        }
+    }
+    for (const auto& [key, marks] : ctx_.jobs.marks()) {
+        for (const auto& name : marks.machines) {
+            const Machine* m = find(name);
+            bool ours = m != nullptr ? m->mine : members_.leading();
+            if (marks.fence && marks.gone.count(name) == 0 && ours) {
+                names.insert(name);
+            }
+        }
+    }
+    return names;
+}
+
+std::set<Machine*> Fleet::overdue() {
+    std::set<Machine*> machines;
     double limit = ctx_.settings.cancel_s * constants::cancel_fence_share;
     double last = ctx_.settings.cancel_s * constants::cancel_fence_last_share;
     for (const auto& uid : ctx_.jobs.cancelled()) {
@@ -991,11 +1027,12 @@
             bool new_here = m != nullptr && !m->adopted && since < last &&
                             ctx_.now.steady - m->owned_since < silence_s();
             if (m != nullptr && m->mine && !ended && !new_here) {
-                mark(*m, "cancelled task still there", true);
+                machines.insert(m);
             }
             return true;
         });
     }
+    return machines;
 }
 
 void Fleet::forget_old() {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -120,6 +120,7 @@
     const Resources& room(const Machine& m) const;
     // What the records say of it: placements, what they take, its mark.
     const Jobs::Site& site(const Machine& m) const;
+    std::set<std::string> overdue_and_silent();
     // Whether new tasks may be claimed on it, as far as this controller knows.
     bool usable(const Machine& m) const;
     // The same of any member's machine, from what all know.
@@ -195,6 +196,7 @@
     bool over(Machine& m) const;
     void repeat_stops(Machine& m);
     void save_in_time(Machine& m);
+    std::set<Machine*> overdue();
     void fence_cancelled();
     double patience_s(const Machine& m, const Silence& silence) const;
     void look_after(Machine& m, const Silence& silence);
--- a/src/core/provisioner.cpp
+++ b/src/core/provisioner.cpp
@@ -100,6 +100,7 @@
                                    pages / calls});
         list("");
     }
+    release_unwritten();
     if (!members_.leading() || !members_.in_contact() || fleet_.types().empty()) {
         return;
     }
@@ -190,6 +191,42 @@
     });
 }
 
+// Guards against a machine that hangs with a cancelled task through an outage of the state service
+// that is longer than cancel_s: nobody can mark it, and the leader releases only what is marked. A
+// release needs no record to be safe, since nothing is concluded from this one: once there is
+// contact the machine is found silent, marked and released again, and only that answer is the
+// proof. Only who may still answer its workers does it: others may have taken them over.
+void Provisioner::release_unwritten() {
+    if (members_.in_contact()) {
+        released_unwritten_.clear();
+        return;
+    }
+    if (releasing_unwritten_ || !members_.may_answer_workers() || members_.peers_have_contact() ||
+        ctx_.now.steady < next_unwritten_) {
+        return;
+    }
+    next_unwritten_ = ctx_.now.steady + constants::release_unwritten_s;
+    CloudCall call;
+    call.kind = CloudCall::Kind::release;
+    for (const auto& name : fleet_.overdue_and_silent()) {
+        if (released_unwritten_.count(name) == 0 && call.machines.size() < constants::release_max) {
+            call.machines.push_back(name);
+        }
+    }
+    if (call.machines.empty()) {
+        return;
+    }
+    releasing_unwritten_ = true;
+    ctx_.info("release without a record {}", fmt::join(call.machines, ","));
+    std::set<std::string> names(call.machines.begin(), call.machines.end());
+    ctx_.cloud(call, [this, names](const CloudReply& r) {
+        releasing_unwritten_ = false;
+        if (r.status == CloudReply::Status::ok) {
+            released_unwritten_.insert(names.begin(), names.end());
+        }
+    });
+}
+
 // Confirmed by the cloud: written down, so that every member may take the places as empty.
 void Provisioner::write_gone(const std::set<std::string>& names) {
     Txn txn;
--- a/src/core/provisioner.hpp
+++ b/src/core/provisioner.hpp
@@ -75,6 +75,7 @@
     void look_at_types();
     void list(const std::string& after);
     void release();
+    void release_unwritten();
     void write_gone(const std::set<std::string>& names);
     void add_gone_apart(const Marks& old, const std::set<std::string>& names, Txn& txn);
     bool not_said(const std::string& key, const std::string& machine) const;
@@ -124,6 +125,9 @@
     double next_plan_ = 0;
     double next_word_ = 0;
     bool releasing_ = false;
+    bool releasing_unwritten_ = false;
+    double next_unwritten_ = 0;
+    std::set<std::string> released_unwritten_;  // since contact was lost
     double next_release_ = 0;
     bool retiring_ = false;
     double next_retire_ = 0;
