--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -705,7 +705,7 @@
 void World::deliver_kept() {
     for (const auto& report : std::exchange(kept_, {})) {
         for (auto& n : nodes_) {
-            to_node(static_cast<int>(&n - nodes_.data()), n.generation, [&](Controller& c) {
+            to_node(static_cast<int>(&n - nodes_.data()), n.generation, [=, this](Controller& c) {
                 c.report(time(), ++next_request_, report, false);  // nobody waits for its answer
             });
         }
