--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -452,13 +452,16 @@
         return false;
     }
     double limit = ctx_.settings.cancel_s - ctx_.settings.lease_s - constants::cancel_margin_s;
-    double known = leases_->known_until(copy_time_.at());
-    return ctx_.now.steady - known < std::max(limit, constants::contact_lost_s);
+    return unknown_for_s() < std::max(limit, constants::contact_lost_s);
+}
+
+// s for which cancellations that users were told of may be unknown here.
+double Membership::unknown_for_s() const {
+    return ctx_.now.steady - leases_->known_until(copy_time_.at());
 }
 
 bool Membership::may_start() const {
-    double known = leases_->known_until(copy_time_.at());
-    return ctx_.now.steady - known < constants::start_known_s;
+    return unknown_for_s() < constants::start_known_s;
 }
 
 bool Membership::healthy() const {
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -63,6 +63,7 @@
     void renew();
     void leave();
     void ask_copy_time();
+    double unknown_for_s() const;
     void look_at_leases();
     void beat();
     std::optional<LeaseHeartbeat> lease_heartbeat(
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -456,10 +456,14 @@
 // against one in a sheet beside it: that leaves the block's revision as it is, so that both would
 // hold. In the block's record only one of the two can.
 bool Scheduler::in_doubt(const std::string& key) const {
-    Revision epoch = ctx_.jobs.revision_of(keys::epoch);
-    return std::any_of(unknown_.begin(), unknown_.end(), [&](const Claim& c) {
-        return c.key == key && c.revision == ctx_.jobs.revision_of(key) && c.epoch == epoch;
-    });
+    return std::any_of(unknown_.begin(), unknown_.end(),
+                       [&](const Claim& c) { return c.key == key && undecided(c); });
+}
+
+// Whether a claim's conditions still hold, so that it may yet be carried out.
+bool Scheduler::undecided(const Claim& c) const {
+    return ctx_.jobs.revision_of(c.key) == c.revision &&
+           ctx_.jobs.revision_of(keys::epoch) == c.epoch;
 }
 
 // Whole or not at all: every block of the job goes into one transaction, so that one controller
@@ -858,9 +862,7 @@
 void Scheduler::records_changed(const std::set<std::string>& touched) {
     for (std::size_t i = 0; i < unknown_.size();) {
         const Claim& c = unknown_[i];
-        bool open = ctx_.jobs.revision_of(c.key) == c.revision &&
-                    ctx_.jobs.revision_of(keys::epoch) == c.epoch;
-        if (open) {
+        if (undecided(c)) {
             ++i;
             continue;
         }
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -144,6 +144,7 @@
     void note_claim(Batch& batch, const Job& job, Claim claim,
                     const std::vector<std::string>& machines, int tasks);
     bool in_doubt(const std::string& key) const;
+    bool undecided(const Claim& claim) const;
     void add_to_sheet(const Job& job, int block, const Block& next,
                       const std::vector<std::string>& machines);
     double rank(const Offer& offer, const Job& job) const;
