--- a/review/standins/site_.py
+++ b/review/standins/site_.py
@@ -49,14 +49,24 @@
 
 
 class Site:
-    # As the page of the smaller deployment has it (desks), with three zones as in the other.
-    report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s = 3.0, 24.0, 40.0, 4.0, 44.0
-    state = {"rps": 150.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 12}
-    cloud_rps, list_lag_s = 5.0, 2.0
-    zones = ["zone-a", "zone-b", "zone-c"]
-    teams = [{"name": "crew", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
+    # As the page and the site file of biljettbron-hq have it.
+    report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s = 3.0, 42.0, 40.0, 4.0, 67.0
+    state = {"rps": 250.0, "write_rps": 50.0, "value_kb": 32.0, "txn_ops": 16}
+    cloud_rps, list_lag_s = 8.0, 5.0
+    zones = ["gbg-vast", "sthlm-norr", "malmo-syd"]
+    teams = [{"name": "bedrag", "cpus": 0.0, "cpus_max": 0.0, "gpus": 104.0, "gpus_max": 184.0},
+             {"name": "prisgrupp", "cpus": 0.0, "cpus_max": 0.0, "gpus": 40.0, "gpus_max": 250.0},
+             {"name": "kartgrupp", "cpus": 0.0, "cpus_max": 0.0, "gpus": 80.0, "gpus_max": 500.0}]
+    running = []  # the deployments of this process
+
+    @classmethod
+    def machine_type(cls, boot_s, **fields):
+        return {"label": "fjallnod", "cpus": 64, "gpus": 8, "mem_gb": 384, "local_gb": 150,
+                "fetch_gb_per_s": 0.25, "rate": 27.74, "spot_price": 9.91, "ready_s": boot_s,
+                "marshes": cls.zones, **fields}
 
     def __init__(self, folder, types, capacity, boot_s):
+        Site.running.append(self)
         self.began = time.monotonic()
         self.out = open(os.path.join(folder, "record.txt"), "w")
         self.folder = tempfile.mkdtemp(prefix="cranemoor-review-")
@@ -123,8 +133,8 @@
             "report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s")]
         lines += ["[settings.state]"] + [f"{k} = {v}" for k, v in self.state.items()]
         lines += ["[settings.cloud]", f"rps = {self.cloud_rps}", f"list_lag_s = {self.list_lag_s}",
-                  "[settings.machine_limits]", "cpu = 0.24", "mem_mb = 136.0",
-                  "max_connections = 1800"]
+                  "[settings.machine_limits]", "cpu = 0.24", "mem_mb = 200.0",
+                  "max_connections = 3500"]
         return "\n".join(lines) + "\n"
 
     def start_controller(self, name):
@@ -224,7 +234,7 @@
     # --- users
 
     def job(self, number, **fields):
-        spec = {"uid": f"req-{number:06}", "flock": "work", "crew": "crew", "gait": "array",
+        spec = {"uid": f"req-{number:06}", "flock": "work", "crew": "kartgrupp", "gait": "array",
                 "rank": "normal", "hatchlings": 1, "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0,
                 "plumage": "img-01", "size_gb": 0.5, "breeds": None, "marsh": None,
                 "together": False, "spread": False, "driftwood": False, "flight_s": 5.0,
@@ -268,7 +278,12 @@
     """Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, 2 if the case
     could not run."""
     async def run():
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, os._exit, 2)
+        def stop():
+            for deployment in Site.running:
+                deployment.end()
+            os._exit(2)
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             result = await case()
         except (CannotRun, OSError) as error:
