--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,42 +8,38 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUN_S = float(os.environ.get("RUN_S", "100"))
-SERVICES, GANG = 3, 4
 
 
 async def case():
-    kind = site.Site.machine_type(boot_s=5.0)
-    # The disruption: one zone has no more machines than its services use. The others have plenty.
-    capacity = {("fjallnod", zone, False): 20 for zone in site.Site.zones}
-    first = site.Site.zones[0]
-    if TROUBLE:
-        capacity[("fjallnod", first, False)] = SERVICES
-    s = site.Site(HERE, [kind], capacity, boot_s=5.0)
+    kinds = [site.Site.machine_type(boot_s=5.0),
+             site.Site.machine_type(boot_s=5.0, label="fjallnod-2", rate=30.0, spot_price=11.0)]
+    # The disruption: no machine of the cheaper type is to be had, in any zone.
+    capacity = {("fjallnod-2", zone, False): 20 for zone in site.Site.zones}
+    if not TROUBLE:
+        capacity.update({("fjallnod", zone, False): 20 for zone in site.Site.zones})
+    s = site.Site(HERE, kinds, capacity, boot_s=5.0)
     try:
         await s.start()
-        for number in range(SERVICES):  # one a machine, each with 31 of 64 CPUs left
-            await s.submit(s.job(number, gait="service", rank="production", cpus=33.0, gpus=1.0,
-                                 mem_gb=29.0, marsh=first, flight_s=0.0), run_s=None)
-        while len(s.starts) < SERVICES:
-            if s.now() > 15.0:
-                raise site.CannotRun("the services did not start")
-            await asyncio.sleep(0.1)
-        gang = s.job(412, gait="gang", rank="high", hatchlings=GANG, cpus=30.0, gpus=5.0,
-                     mem_gb=100.0, together=True, flight_s=10.0, nestmark_s=20.0, preen_s=6.0)
-        status, _ = await s.submit(gang, run_s=10.0)
-        if status not in (200, 201):
-            raise site.CannotRun(f"the gang was not accepted: {status}")
+        jobs = [s.job(0, gait="service", rank="production", cpus=5.0, gpus=1.0, mem_gb=29.0,
+                      flight_s=0.0),
+                s.job(1, hatchlings=3, cpus=6.0, gpus=1.0, mem_gb=36.0),
+                s.job(2, gait="gang", rank="high", cpus=57.0, gpus=8.0, mem_gb=310.0,
+                      together=True, nestmark_s=20.0, preen_s=6.0)]
+        for job in jobs:
+            status, _ = await s.submit(job, run_s=None if job["gait"] == "service" else 5.0)
+            if status not in (200, 201):
+                raise site.CannotRun(f"a job was not accepted: {status}")
         accepted = s.now()
-        answer = None
         while s.now() < accepted + RUN_S:
             await asyncio.sleep(5.0)
-            _, answer = await s.poll(gang["uid"])
-            if answer and answer.get("stance") == "done":
+            answers = [(await s.poll(job["uid"]))[1] or {} for job in jobs]
+            if [a.get("stance") for a in answers] == ["running", "done", "done"]:
                 break
-        held = s.ran(gang["uid"])
-        s.record("test", f"accepted at {accepted:.1f} s, watched until {s.now():.1f} s, "
-                 f"last answer {answer}")
-        s.record("test", "rule held" if held else "RULE BROKEN: the gang never ran")
+        held = len(s.starts) > 0
+        s.record("test", f"accepted until {accepted:.1f} s, {len(s.starts)} tasks started and "
+                 f"{len(s.cloud.refused)} rentals refused until {s.now():.1f} s, rented: "
+                 f"{s.cloud.last} machines")
+        s.record("test", "rule held" if held else "RULE BROKEN: no task was started")
         return 0 if held else 1
     finally:
         s.end()
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. record.txt has what was sent, answered and run.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/cranemoor ] || { echo "target/cranemoor is not built" >&2; exit 2; }
-PYTHONDONTWRITEBYTECODE=1 exec timeout -k 1 -s TERM 119 python3 case.py
+PYTHONDONTWRITEBYTECODE=1 exec timeout -k 1 -s TERM 119 python3 "${VARIANT:-case}.py"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # they can be loaded.
 set -e
 cd "$(dirname "$0")"
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=standins python3 -c 'import cbor, wire, store, cloud, worker, site_'
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=standins python3 -c 'import cbor, wire, proxy, store, cloud, worker, site_'
 echo "stand-ins: ready"
--- a/review/standins/site_.py
+++ b/review/standins/site_.py
@@ -292,8 +292,8 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             result = await case()
-        except (CannotRun, OSError) as error:
-            print(f"cannot run: {error}")
+        except Exception as error:  # a fault of the test itself is no verdict either
+            print(f"cannot run: {type(error).__name__}: {error}")
             result = 2
         os._exit(result)  # what is still open ends with the process
 
