Scale-out: ask for the next type and zone when the cheapest is refused

What callers saw: accepted jobs stayed pending for as long as the cloud had no machine of the cheapest type, although they allowed dearer types that were to be had. A job bound to a zone that does not offer the cheapest type waited likewise, and so did spare machines and replacements of lost ones.

Cause: a plan named one type per job, the cheapest that fits, and only then looked for a zone and for spot or on demand. A refusal was remembered, but left no other type to ask for.

Change: LaunchOptions lists what a job allows, spot first, then by price; a plan takes the first that is not backing off in an allowed zone. CapacityBackoff remembers refusals for 12 s, or for as long as asking every refused kind once takes; a request that the cloud calls malformed counts as a refusal, and a new leader knows the refusals of the last notices. The zones searched for room are those of all allowed types, not of the cheapest.

--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -30,9 +30,11 @@
     // Guards against launching a second fleet: a process that has just started knows no machines,
     // and would launch some for every job as if none existed.
     if (inventory_.listing_complete() && ctx_.now.steady >= next_plan_at_s_) {
-        next_plan_at_s_ = ctx_.now.steady + constants::scale_out_interval_s *
-                                                pending_queue_.round_interval_factor(
-                                                    constants::scale_out_slowdown_factor_max);
+        double plan_interval_s =
+            constants::scale_out_interval_s *
+            pending_queue_.round_interval_factor(constants::scale_out_slowdown_factor_max);
+        next_plan_at_s_ = ctx_.now.steady + plan_interval_s;
+        launcher_.set_plan_interval(plan_interval_s);
         scale_out();
         scale_in_.cordon_unneeded();
     }
--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -53,24 +53,20 @@
     return cursor;
 }
 
-std::optional<std::string> BinPacking::zone_with_most_fits(const TaskDemand& demand) const {
-    std::optional<std::string> best;
-    int fitting_tasks_max = 0;
-    for (const auto& zone : demand.type->zones) {
-        auto cursor = cursors_.find({demand.demand_class, zone});
-        std::size_t from = cursor == cursors_.end() ? 0 : cursor->second;
-        int fitting_tasks = 0;
-        for (std::size_t i = find_fit_from(demand, zone, from);
-             i < bins_.size() && fitting_tasks < demand.spec->tasks;
-             i = find_fit_from(demand, zone, i + 1)) {
-            ++fitting_tasks;
-        }
-        if (fitting_tasks > fitting_tasks_max) {
-            fitting_tasks_max = fitting_tasks;
-            best = zone;
+int BinPacking::count_fits(const TaskDemand& demand, const std::string& zone, int tasks_max) const {
+    auto cursor = cursors_.find({demand.demand_class, zone});
+    std::size_t from = cursor == cursors_.end() ? 0 : cursor->second;
+    int fits = 0;
+    for (std::size_t i = find_fit_from(demand, zone, from); i < bins_.size() && fits < tasks_max;
+         i = find_fit_from(demand, zone, i + 1)) {
+        Bin bin = bins_[i];
+        while (fits < tasks_max && accepts(bin, demand)) {
+            bin.free -= demand.spec->task_resources;
+            bin.empty = false;
+            ++fits;
         }
     }
-    return best;
+    return fits;
 }
 
 void BinPacking::add(const InstanceKind& kind, const Resources& size) {
--- a/src/core/autoscaling/bin_packing.hpp
+++ b/src/core/autoscaling/bin_packing.hpp
@@ -13,6 +13,7 @@
 
 #include "core/agents/agent_registry.hpp"
 #include "core/autoscaling/instance_kind.hpp"
+#include "core/autoscaling/launch_options.hpp"
 #include "core/autoscaling/machine_launcher.hpp"
 #include "core/context/context.hpp"
 
@@ -39,8 +40,8 @@
 /// The requirements of one job's tasks on their machines.
 struct TaskDemand {
     const JobSpec* spec = nullptr;
-    const MachineType* type = nullptr;  ///< the cheapest type that fits a task
-    bool best_effort = false;           ///< uses only leftover resources of on-demand machines
+    const LaunchOptions* options = nullptr;  ///< what may be launched for a task
+    bool best_effort = false;                ///< uses only leftover resources of on-demand machines
     DemandClass demand_class;
     std::optional<std::string> required_zone;  ///< all tasks must be in it; null: no restriction
     std::map<std::string, int> tasks_by_zone;  ///< tasks placed so far
@@ -64,8 +65,8 @@
     const std::vector<Bin>& bins() const { return bins_; }
     /// Index of the first bin in the zone that accepts a task; `bins().size()` if none does.
     std::size_t first_fit(const TaskDemand& demand, const std::string& zone);
-    /// The zone in which most of the job's tasks fit; null if no task fits anywhere.
-    std::optional<std::string> zone_with_most_fits(const TaskDemand& demand) const;
+    /// How many tasks fit in the zone's bins together, counted up to `tasks_max`.
+    int count_fits(const TaskDemand& demand, const std::string& zone, int tasks_max) const;
     /// Adds an empty machine as the last bin.
     void add(const InstanceKind& kind, const Resources& size);
     /// Subtracts the resources of one task from a bin.
--- a/src/core/autoscaling/machine_launcher.cpp
+++ b/src/core/autoscaling/machine_launcher.cpp
@@ -59,6 +59,9 @@
         const LaunchNotice& notice = received.notice;
         InstanceKind kind{notice.type, notice.zone, notice.spot};
         if (!notice.open) {
+            if (static_cast<int>(notice.machines.size()) < notice.count) {
+                capacity_backoff_.set_refused(kind, received.received_at_s);
+            }
             add_launched_machines(kind, notice.machines, ctx_.now.steady - received.received_at_s);
             continue;
         }
@@ -154,13 +157,11 @@
             break;
         case CloudReply::Status::no_capacity:
             ctx_.info("launch request {}: no capacity at the cloud provider", request);
-            notify_peers({make_notice(*launch, false, {})});
-            set_out_of_capacity(launch->kind);
-            pending_.erase(launch);
+            finish_refused(launch);
             break;
         case CloudReply::Status::bad_request:
             ctx_.error("launch request {}: rejected as malformed by the cloud provider", request);
-            pending_.erase(launch);
+            finish_refused(launch);
             break;
         default:
             // It may have been executed: it is repeated with its own idempotency key, so that it
@@ -173,21 +174,26 @@
                                       const std::vector<std::string>& machines) {
     ctx_.info("launch request {}: launched {}", launch->request, fmt::join(machines, ","));
     notify_peers({make_notice(*launch, false, machines)});
+    InstanceKind kind = launch->kind;
     if (static_cast<int>(machines.size()) < launch->count) {
-        set_out_of_capacity(launch->kind);
+        set_out_of_capacity(kind);
+    } else {
+        capacity_backoff_.set_granted(kind);
     }
-    InstanceKind kind = launch->kind;
     pending_.erase(launch);
     add_launched_machines(kind, machines, 0);
 }
 
-bool MachineLauncher::out_of_capacity(const InstanceKind& kind) const {
-    auto backoff = no_capacity_until_s_.find(kind);
-    return backoff != no_capacity_until_s_.end() && backoff->second > ctx_.now.steady;
+void MachineLauncher::finish_refused(std::vector<PendingLaunch>::iterator launch) {
+    notify_peers({make_notice(*launch, false, {})});
+    set_out_of_capacity(launch->kind);
+    pending_.erase(launch);
 }
 
 void MachineLauncher::set_out_of_capacity(const InstanceKind& kind) {
-    no_capacity_until_s_[kind] = ctx_.now.steady + constants::no_capacity_backoff_s;
+    capacity_backoff_.set_refused(kind, ctx_.now.steady);
+    ctx_.info("no capacity for {} in {}{}: not requested again for {:.0f} s", kind.type, kind.zone,
+              kind.spot ? ", spot" : "", capacity_backoff_.duration_s());
 }
 
 }  // namespace cranemoor::core
--- a/src/core/autoscaling/machine_launcher.hpp
+++ b/src/core/autoscaling/machine_launcher.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/agents/agent_manager.hpp"
+#include "core/autoscaling/capacity_backoff.hpp"
 #include "core/autoscaling/instance_kind.hpp"
 #include "core/context/context.hpp"
 #include "core/membership/membership.hpp"
@@ -47,8 +48,14 @@
     const std::vector<PendingLaunch>& pending() const { return pending_; }
     /// Whether `constants::pending_launches_max` or more requests are pending.
     bool at_limit() const { return pending_.size() >= constants::pending_launches_max; }
+    /// Sets the seconds between two plans, see `CapacityBackoff::set_plan_interval`.
+    void set_plan_interval(double plan_interval_s) {
+        capacity_backoff_.set_plan_interval(plan_interval_s);
+    }
     /// Whether the provider recently had too few machines of that kind.
-    bool out_of_capacity(const InstanceKind& kind) const;
+    bool out_of_capacity(const InstanceKind& kind) const {
+        return capacity_backoff_.is_backing_off(kind, ctx_.now.steady);
+    }
 
   private:
     // A notice of the leader, and the steady time when it arrived.
@@ -67,6 +74,7 @@
     void handle_reply(const std::string& request, const CloudReply& reply);
     void finish_launched(std::vector<PendingLaunch>::iterator launch,
                          const std::vector<std::string>& machines);
+    void finish_refused(std::vector<PendingLaunch>::iterator launch);
     void set_out_of_capacity(const InstanceKind& kind);
 
     Context& ctx_;
@@ -76,7 +84,7 @@
     std::vector<PendingLaunch> pending_;
     // By request, until the listing shows what they launched.
     std::map<std::string, ReceivedNotice> notices_;
-    std::map<InstanceKind, double> no_capacity_until_s_;
+    CapacityBackoff capacity_backoff_;
 };
 
 }  // namespace cranemoor::core
--- a/src/core/autoscaling/scale_out_plan.cpp
+++ b/src/core/autoscaling/scale_out_plan.cpp
@@ -1,6 +1,7 @@
 #include "core/autoscaling/scale_out_plan.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/scheduling/placement_constraints.hpp"
 
@@ -22,15 +23,15 @@
 void ScaleOutPlan::add_job(const PendingJob& pending_job) {
     const Job& job = *pending_job.job;
     const JobSpec& spec = job.spec;
-    const MachineType* type = cheapest_type_for(spec);
+    const LaunchOptions& options = options_for(pending_job);
     // Nothing is launched for a job that is likely to fail again, unless it has been pending for
     // long: it must get its retries.
     bool likely_to_fail = job.fails_repeatedly() && ctx_.now.steady - pending_job.pending_since_s <
                                                         constants::job_backoff_max_s;
-    if (type == nullptr || likely_to_fail) {
+    if (options.in_order.empty() || likely_to_fail) {
         return;
     }
-    TaskDemand demand = demand_of(pending_job, *type);
+    TaskDemand demand = demand_of(pending_job, options);
     // Without zone constraints, all tasks of a demand class can go to the same bins.
     bool any_zone = !spec.zone_spread && !spec.same_zone && !spec.zone;
     if (any_zone && unplaceable_.contains(demand.demand_class)) {
@@ -51,15 +52,27 @@
     }
 }
 
-TaskDemand ScaleOutPlan::demand_of(const PendingJob& pending_job, const MachineType& type) {
+// Jobs of one equivalence class differ in nothing that their options depend on.
+const LaunchOptions& ScaleOutPlan::options_for(const PendingJob& pending_job) {
+    auto [entry, is_new] = options_by_class_.try_emplace(pending_job.equivalence_class);
+    if (is_new) {
+        entry->second =
+            launch_options_for(agent_manager_.registry().types(), pending_job.job->spec);
+    }
+    return entry->second;
+}
+
+TaskDemand ScaleOutPlan::demand_of(const PendingJob& pending_job,
+                                   const LaunchOptions& options) const {
     const Job& job = *pending_job.job;
     const JobSpec& spec = job.spec;
     TaskDemand demand;
     demand.spec = &spec;
-    demand.type = &type;
+    demand.options = &options;
     // For best-effort jobs spot instances are launched; on-demand ones only if the job may not use
     // spot instances.
     demand.best_effort = PlacementConstraints::is_best_effort_spot(spec);
+    demand.demand_class.equivalence_class = pending_job.equivalence_class;
     demand.required_zone = spec.zone;
     if (spec.zone_spread || spec.same_zone) {
         job.each_placement([&](int, const Placement& placement) {
@@ -70,22 +83,37 @@
             return true;
         });
     }
-    // A job that may use spot instances takes an empty on-demand machine only if no spot instance
-    // can be launched.
-    bool prefers_spot =
-        spec.spot && (demand.best_effort || pick_zone(type.name, true, demand.required_zone));
-    demand.demand_class = {pending_job.equivalence_class, prefers_spot};
     if (spec.same_zone && !demand.required_zone && spec.tasks > 1) {
-        // Uses as much of the existing free room as possible, so that little is launched.
-        demand.required_zone = packing_.zone_with_most_fits(demand);
+        demand.required_zone = choose_shared_zone(demand, job);
     }
+    demand.demand_class.prefers_spot = prefers_spot(demand, {});
     return demand;
 }
 
+// The zone for a job whose tasks must all run in one: that in which most of them fit already, so
+// that little is launched; null if none fits anywhere.
+std::optional<std::string> ScaleOutPlan::choose_shared_zone(TaskDemand demand,
+                                                            const Job& job) const {
+    std::optional<std::string> best;
+    int most_fits = 0;
+    demand.demand_class.prefers_spot = prefers_spot(demand, {});
+    for (const auto& zone : demand.options->zones) {
+        int fits = packing_.count_fits(demand, zone, job.open());
+        if (fits > most_fits) {
+            most_fits = fits;
+            best = zone;
+        }
+    }
+    return best;
+}
+
 // Places one task in a bin, or else in that of a new machine; false if none can be launched now.
 bool ScaleOutPlan::place_task(TaskDemand& demand) {
     const JobSpec& spec = *demand.spec;
     Zones excluded;
+    if (spec.zone_spread) {
+        excluded = full_zones(demand);
+    }
     std::size_t index = first_fit(demand, excluded);
     if (index == packing_.bins().size() && !launch_for(demand, excluded)) {
         return false;
@@ -99,115 +127,118 @@
     return true;
 }
 
-// The first bin that accepts a task, or the number of bins. Adds to `excluded` the zones in which
-// the job already has as many tasks as its zone spread allows.
-std::size_t ScaleOutPlan::first_fit(TaskDemand& demand, Zones& excluded) {
-    const JobSpec& spec = *demand.spec;
-    std::size_t found = packing_.bins().size();
-    for (const auto& zone : demand.type->zones) {
-        if (spec.zone_spread && demand.tasks_by_zone[zone] >= (spec.tasks + 1) / 2) {
-            excluded.insert(zone);
-            continue;
+// The zones in which the job already has as many tasks as its zone spread allows.
+ScaleOutPlan::Zones ScaleOutPlan::full_zones(const TaskDemand& demand) const {
+    Zones full;
+    for (const auto& [zone, tasks] : demand.tasks_by_zone) {
+        if (tasks >= (demand.spec->tasks + 1) / 2) {
+            full.insert(zone);
         }
-        if (demand.required_zone && *demand.required_zone != zone) {
-            continue;
+    }
+    return full;
+}
+
+// The first bin that accepts a task, or the number of bins.
+std::size_t ScaleOutPlan::first_fit(const TaskDemand& demand, const Zones& excluded) {
+    std::size_t found = packing_.bins().size();
+    for (const auto& zone : demand.options->zones) {
+        bool is_other_zone = demand.required_zone && *demand.required_zone != zone;
+        if (!is_other_zone && !excluded.contains(zone)) {
+            found = std::min(found, packing_.first_fit(demand, zone));
         }
-        found = std::min(found, packing_.first_fit(demand, zone));
     }
     return found;
 }
 
 // Plans one more machine for the job, as the last bin; false if none can be launched now.
 bool ScaleOutPlan::launch_for(const TaskDemand& demand, const Zones& excluded) {
-    bool spot = demand.spec->spot;
-    const std::string& type = demand.type->name;
-    auto zone = pick_zone(type, spot, demand.required_zone, excluded);
-    if (!zone && spot && !demand.best_effort) {
-        spot = false;
-        zone = pick_zone(type, spot, demand.required_zone, excluded);
-    }
-    if (!zone) {
+    auto kind = first_available(*demand.options, demand.required_zone, excluded);
+    if (!kind || ++launches_[*kind] > constants::launch_machines_per_plan_max) {
         return false;
     }
-    InstanceKind kind{type, *zone, spot};
-    if (++launches_[kind] > constants::launch_machines_per_plan_max) {
-        return false;
-    }
-    machines_by_zone_[*zone]++;
-    packing_.add(kind, demand.type->size);
+    machines_by_zone_[kind->zone]++;
+    packing_.add(*kind, agent_manager_.registry().type(kind->type)->size);
     return true;
 }
 
+// A job that may use spot instances takes an empty on-demand machine only if no spot instance can
+// be launched for it.
+bool ScaleOutPlan::prefers_spot(const TaskDemand& demand, const Zones& excluded) const {
+    if (!demand.spec->spot || demand.best_effort) {
+        return demand.best_effort;
+    }
+    auto kind = first_available(*demand.options, demand.required_zone, excluded);
+    return kind && kind->spot;
+}
+
+// The first of the options that is not known to be out of capacity in all allowed zones.
+std::optional<InstanceKind> ScaleOutPlan::first_available(
+    const LaunchOptions& options, const std::optional<std::string>& required_zone,
+    const Zones& excluded) const {
+    for (const auto& option : options.in_order) {
+        if (auto zone = pick_zone(option, required_zone, excluded)) {
+            return InstanceKind{option.type->name, *zone, option.spot};
+        }
+    }
+    return std::nullopt;
+}
+
 // The allowed zone with the fewest machines, without those known to be out of capacity; null: none.
-std::optional<std::string> ScaleOutPlan::pick_zone(const std::string& type, bool spot,
+std::optional<std::string> ScaleOutPlan::pick_zone(const LaunchOption& option,
                                                    const std::optional<std::string>& required_zone,
-                                                   const Zones& excluded) {
+                                                   const Zones& excluded) const {
     std::optional<std::string> best;
-    for (const auto& zone : agent_manager_.registry().type(type)->zones) {
+    for (const auto& zone : option.type->zones) {
         if ((required_zone && *required_zone != zone) ||
             agent_manager_.registry().zone_partitioned(zone) || excluded.contains(zone) ||
-            launcher_.out_of_capacity({type, zone, spot})) {
+            launcher_.out_of_capacity({option.type->name, zone, option.spot})) {
             continue;
         }
-        if (!best || machines_by_zone_[zone] < machines_by_zone_[*best]) {
+        if (!best || machines_in(zone) < machines_in(*best)) {
             best = zone;
         }
     }
     return best;
 }
 
-const MachineType* ScaleOutPlan::cheapest_type_for(const JobSpec& spec) const {
-    const MachineType* best = nullptr;
-    for (const auto& type : agent_manager_.registry().types()) {
-        bool allowed =
-            !spec.machine_types || std::find(spec.machine_types->begin(), spec.machine_types->end(),
-                                             type.name) != spec.machine_types->end();
-        if (allowed && spec.task_resources.fits_in(type.size) &&
-            (best == nullptr || type.price < best->price)) {
-            best = &type;
-        }
-    }
-    return best;
-}
-
-const MachineType* ScaleOutPlan::cheapest_type() const {
-    const MachineType* best = nullptr;
-    for (const auto& type : agent_manager_.registry().types()) {
-        best = best == nullptr || type.price < best->price ? &type : best;
-    }
-    return best;
+int ScaleOutPlan::machines_in(const std::string& zone) const {
+    auto machines = machines_by_zone_.find(zone);
+    return machines == machines_by_zone_.end() ? 0 : machines->second;
 }
 
 void ScaleOutPlan::add_headroom(int machines) {
-    const MachineType* type = cheapest_type();
+    LaunchOptions options =
+        launch_options_for_headroom(agent_manager_.registry().types(), /*spot=*/false);
     int empty = 0;
     for (const auto& bin : packing_.bins()) {
         empty += bin.empty && !bin.kind.spot ? 1 : 0;
     }
-    for (; type != nullptr && empty < machines; ++empty) {
-        auto zone = pick_zone(type->name, false, std::nullopt);
-        if (!zone) {
+    for (; empty < machines; ++empty) {
+        auto kind = first_available(options, std::nullopt);
+        if (!kind) {
             break;
         }
-        launches_[{type->name, *zone, false}]++;
-        machines_by_zone_[*zone]++;
+        launches_[*kind]++;
+        machines_by_zone_[kind->zone]++;
     }
 }
 
 void ScaleOutPlan::add_spot_headroom() {
-    const MachineType* launch_type = cheapest_type();
     double free_machines = 0;  // free room on spot instances, in machines, counted by CPUs
     for (const auto& bin : packing_.bins()) {
         const MachineType* type = agent_manager_.registry().type(bin.kind.type);
         bool is_spot_room = bin.kind.spot && type != nullptr && type->size.cpus > 0;
         free_machines += is_spot_room ? bin.free.cpus / type->size.cpus : 0;
     }
-    if (launch_type != nullptr && free_machines < constants::spot_headroom_machines &&
-        agent_manager_.job_arrivals().spot_arrivals(ctx_.now.wall - constants::arrivals_history_s) >
-            0) {
-        if (auto zone = pick_zone(launch_type->name, true, std::nullopt)) {
-            launches_[{launch_type->name, *zone, true}]++;
-        }
+    if (free_machines >= constants::spot_headroom_machines ||
+        agent_manager_.job_arrivals().spot_arrivals(ctx_.now.wall -
+                                                    constants::arrivals_history_s) <= 0) {
+        return;
+    }
+    LaunchOptions options =
+        launch_options_for_headroom(agent_manager_.registry().types(), /*spot=*/true);
+    if (auto kind = first_available(options, std::nullopt)) {
+        launches_[*kind]++;
     }
 }
 
--- a/src/core/autoscaling/scale_out_plan.hpp
+++ b/src/core/autoscaling/scale_out_plan.hpp
@@ -11,6 +11,7 @@
 #include "core/agents/agent_manager.hpp"
 #include "core/autoscaling/bin_packing.hpp"
 #include "core/autoscaling/instance_kind.hpp"
+#include "core/autoscaling/launch_options.hpp"
 #include "core/autoscaling/machine_launcher.hpp"
 #include "core/context/context.hpp"
 #include "core/quota/quota.hpp"
@@ -28,7 +29,7 @@
 
     /// Packs the open tasks of a job, and plans machines for those that fit none.
     void add_job(const PendingJob& pending_job);
-    /// Plans on-demand machines until at least `machines` are empty.
+    /// Plans on-demand machines until at least `machines` are empty, or none can be launched.
     void add_headroom(int machines);
     /// Plans one spot instance if little room is left on the existing ones while jobs that may use
     /// them keep arriving.
@@ -40,15 +41,21 @@
   private:
     using Zones = std::set<std::string>;
 
-    TaskDemand demand_of(const PendingJob& pending_job, const MachineType& type);
+    const LaunchOptions& options_for(const PendingJob& pending_job);
+    TaskDemand demand_of(const PendingJob& pending_job, const LaunchOptions& options) const;
+    std::optional<std::string> choose_shared_zone(TaskDemand demand, const Job& job) const;
     bool place_task(TaskDemand& demand);
-    std::size_t first_fit(TaskDemand& demand, Zones& excluded);
+    Zones full_zones(const TaskDemand& demand) const;
+    std::size_t first_fit(const TaskDemand& demand, const Zones& excluded);
     bool launch_for(const TaskDemand& demand, const Zones& excluded);
-    std::optional<std::string> pick_zone(const std::string& type, bool spot,
+    bool prefers_spot(const TaskDemand& demand, const Zones& excluded) const;
+    std::optional<InstanceKind> first_available(const LaunchOptions& options,
+                                                const std::optional<std::string>& required_zone,
+                                                const Zones& excluded = {}) const;
+    std::optional<std::string> pick_zone(const LaunchOption& option,
                                          const std::optional<std::string>& required_zone,
-                                         const Zones& excluded = {});
-    const MachineType* cheapest_type_for(const JobSpec& spec) const;
-    const MachineType* cheapest_type() const;
+                                         const Zones& excluded) const;
+    int machines_in(const std::string& zone) const;
 
     const Context& ctx_;
     const AgentManager& agent_manager_;
@@ -57,6 +64,7 @@
     BinPacking packing_;
     std::map<std::string, int> machines_by_zone_;
     std::map<InstanceKind, int> launches_;
+    std::map<int, LaunchOptions> options_by_class_;     // by PendingJob::equivalence_class
     std::map<std::string, Resources> planned_by_team_;  // resources of the tasks considered so far
     // Demand classes that fit no bin, and for which nothing more can be launched.
     std::set<DemandClass> unplaceable_;
--- a/src/core/model/constants.hpp
+++ b/src/core/model/constants.hpp
@@ -394,8 +394,11 @@
 inline constexpr double headroom_deviation_factor = 2.0;
 /// Free room kept on spot machines, in machines, while work for them keeps arriving.
 inline constexpr double spot_headroom_machines = 0.75;
-/// How long a machine type, zone and instance kind without capacity is not requested again.
+/// How long a machine type, zone and instance kind without capacity is not requested again, at
+/// least.
 inline constexpr double no_capacity_backoff_s = 12.0;
+/// Usual time until the cloud answers a launch request, the wait for its rate limit included.
+inline constexpr double launch_reply_s = 0.5;
 /// Launch requests pending at once: more would only wait for the cloud's rate limit, and a plan
 /// made later sees more jobs and requests more machines in each.
 inline constexpr std::size_t pending_launches_max = 4;
--- a/tests/fake_worker.cpp
+++ b/tests/fake_worker.cpp
@@ -239,7 +239,7 @@
 Heartbeat FakeWorkers::make_heartbeat(FakeWorker& worker) {
     Heartbeat heartbeat{worker.info.name,
                         worker.info.name,
-                        "t8",
+                        worker.info.type,
                         worker.info.zone,
                         worker.info.spot,
                         worker.agent_epoch,
