Scale-out: a gang that shares a zone goes where all of it can run

What callers saw: a gang whose tasks must share a zone stayed pending while another zone had machines for all of it.

Cause: the zone in which most of the gang's tasks fit was taken, without regard to whether the cloud had machines there for the rest.

Change: a zone comes into question if all of the gang fits there, or if a kind that it allows is not backing off there; among these, most fits as before. With no room anywhere it is the zone of the first kind in price order.

Measured: GangLeavesAZoneThatLacksOneMachine fails on the sources before and passes now, with no more launches than needed; the whole suite passes.

--- a/src/core/autoscaling/scale_out_plan.cpp
+++ b/src/core/autoscaling/scale_out_plan.cpp
@@ -90,20 +90,28 @@
     return demand;
 }
 
-// The zone for a job whose tasks must all run in one: that in which most of them fit already, so
-// that little is launched; null if none fits anywhere.
+// The zone for a job whose tasks must all run in one; null if nothing can be done for it now. Only
+// zones come into question in which the job can run: a gang needs room for all of its tasks at
+// once, so what is missing must be available from the provider; other jobs start with any room.
+// Among these, the one in which most tasks fit already, so that little is launched.
 std::optional<std::string> ScaleOutPlan::choose_shared_zone(TaskDemand demand,
                                                             const Job& job) const {
+    int needed = job.spec.kind == JobKind::gang ? job.open() : 1;
     std::optional<std::string> best;
-    int most_fits = 0;
-    demand.demand_class.prefers_spot = prefers_spot(demand, {});
+    std::pair<bool, int> best_rank{false, 0};  // whether the job can run there, tasks that fit
     for (const auto& zone : demand.options->zones) {
+        demand.required_zone = zone;
+        demand.demand_class.prefers_spot = prefers_spot(demand, {});
         int fits = packing_.count_fits(demand, zone, job.open());
-        if (fits > most_fits) {
-            most_fits = fits;
+        bool can_run = fits >= needed || first_available(*demand.options, zone).has_value();
+        if (std::pair(can_run, fits) > best_rank) {
+            best_rank = {can_run, fits};
             best = zone;
         }
     }
+    if (best_rank.first && best_rank.second == 0) {
+        return first_available(*demand.options, std::nullopt)->zone;
+    }
     return best;
 }
 
--- a/tests/launch_capacity_test.cpp
+++ b/tests/launch_capacity_test.cpp
@@ -57,6 +57,27 @@
     EXPECT_GT(cluster.cloud.machine_count(cheap.name), 0);
 }
 
+TEST_F(LaunchCapacityTest, GangLeavesAZoneThatLacksOneMachine) {
+    // Guards against a gang that waits for ever: it was bound to the zone in which most of its
+    // tasks fit, even if the provider had no machine there for the last one.
+    cluster.cloud.capacity_by_kind[{cheap.name, "a", false}] = 3;
+    cluster.cloud.types = {cheap};
+    start_cluster(3);
+    for (int number = 1; number <= 3; ++number) {
+        JobSpec service = cluster.make_job(number, JobKind::service);
+        service.task_resources = {33, 1, 29};
+        service.zone = "a";
+        cluster.submit_and_wait(0, service);
+    }
+    ASSERT_TRUE(runs_within(1, 1, 40) && runs_within(2, 1, 40) && runs_within(3, 1, 40));
+    JobSpec gang = cluster.make_job(4, JobKind::gang, 4);
+    gang.task_resources = {30, 5, 100};
+    gang.same_zone = true;
+    cluster.submit_and_wait(1, gang);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000004"); }, 60));
+    EXPECT_LE(cluster.cloud.launched_machines, 3 + 4);
+}
+
 TEST_F(LaunchCapacityTest, TypeOfferedInTheJobsZoneIsLaunched) {
     // Guards against a job bound to a zone that waits for ever: the type to launch was chosen
     // without regard to the zones in which it is offered.
