Scale-out: launches no machine too many for spread jobs that may use spot

What callers saw: nothing was refused, but machines were paid for that nobody needed: an on-demand machine at every plan while a spread job had one to come.

Cause: whether a job waits for spot was decided once, over all zones. Where the spread had filled the zone that has spot, on-demand machines were launched in the others, but while they booted they did not count as room for the job, since the first zone still had spot.

Change: for spread jobs this is decided for each task, over the zones that the spread still allows.

--- a/src/core/autoscaling/scale_out_plan.cpp
+++ b/src/core/autoscaling/scale_out_plan.cpp
@@ -121,6 +121,7 @@
     Zones excluded;
     if (spec.zone_spread) {
         excluded = full_zones(demand);
+        demand.demand_class.prefers_spot = prefers_spot(demand, excluded);
     }
     std::size_t index = first_fit(demand, excluded);
     if (index == packing_.bins().size() && !launch_for(demand, excluded)) {
--- a/tests/launch_capacity_test.cpp
+++ b/tests/launch_capacity_test.cpp
@@ -101,6 +101,21 @@
     EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000001"); }, 60));
 }
 
+TEST_F(LaunchCapacityTest, SpreadJobLaunchesNoMoreThanItNeedsWhereSpotIsRefused) {
+    // Guards against a launch at every plan: on-demand machines launched in zones without spot
+    // capacity did not count as room while another zone had some, although the spread was full.
+    cluster.cloud.types = {cheap};
+    cluster.cloud.capacity_by_kind = {{{cheap.name, "b", true}, 0}, {{cheap.name, "c", true}, 0}};
+    start_cluster(3);
+    JobSpec job = cluster.make_job(1, JobKind::service, 4);
+    job.task_resources = {60, 8, 400};
+    job.zone_spread = true;
+    job.spot = true;
+    cluster.submit_and_wait(0, job);
+    ASSERT_TRUE(runs_within(1, 4, 60));
+    EXPECT_LE(cluster.cloud.launched_machines, 5);
+}
+
 TEST_F(LaunchCapacityTest, EveryTypeIsTriedBeforeTheFirstIsRequestedAgain) {
     // Guards against a plan that returns to the cheapest types and never reaches the last one.
     constexpr int type_count = 12;
