Scheduler: a job that must share a zone no longer hides others of its size

What callers saw: jobs stayed pending beside a machine with room for them, for as long as an earlier job of the same size waited for a full zone.

Cause: what fits none of a controller's machines is noted for the round by equivalence class, and for gangs by size, so that jobs alike are not tried again. Jobs whose tasks must share a zone were of the same class as others, although the placements of their own tasks bind them to one zone.

Change: same zone and zone spread are part of the class, and a job that must share a zone is not noted: the next one may be bound to another.

--- a/src/core/scheduling/pending_queue.cpp
+++ b/src/core/scheduling/pending_queue.cpp
@@ -118,13 +118,13 @@
     pending_jobs_[pending->uid] = std::move(pending);
 }
 
-// Numbers the demands that decide whether a task fits a machine, without the zone rules that depend
-// on its job's other tasks. Comparing numbers is cheaper than comparing the names each time.
+// Numbers the demands that decide whether a task fits a machine, without where its job's other
+// tasks are placed. Comparing numbers is cheaper than comparing the names each time.
 int PendingQueue::equivalence_class(const JobSpec& spec) {
     auto demands = fmt::format(
-        "{}|{}|{}|{}|{}|{}|{}", spec.task_resources.cpus, spec.task_resources.gpus,
+        "{}|{}|{}|{}|{}|{}|{}|{}|{}", spec.task_resources.cpus, spec.task_resources.gpus,
         spec.task_resources.memory_gb, spec.spot, spec.priority == Priority::best_effort,
-        spec.zone ? *spec.zone : "",
+        spec.zone ? *spec.zone : "", spec.same_zone, spec.zone_spread,
         spec.machine_types ? fmt::format("{}", fmt::join(*spec.machine_types, ",")) : "");
     auto next = static_cast<int>(equivalence_classes_.size());
     return equivalence_classes_.try_emplace(std::move(demands), next).first->second;
--- a/src/core/scheduling/scheduler.cpp
+++ b/src/core/scheduling/scheduler.cpp
@@ -119,7 +119,9 @@
         return;
     }
     auto [candidates, any_fits] = filter_and_score(round, pending);
-    if (!any_fits) {
+    // Jobs whose tasks must share a zone are each bound to another one: what does not fit there
+    // says nothing of the next job.
+    if (!any_fits && !spec.same_zone) {
         round.unplaceable_classes.insert(pending.equivalence_class);
     }
     sort_candidates(candidates);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -27,6 +27,54 @@
     }
 }
 
+TEST_F(ThreeControllerPlacementTest, JobBoundToAFullZoneDoesNotHideOthersOfItsSize) {
+    // Guards against jobs that wait beside a machine with room: a job of the same size that shares
+    // a full zone made a controller take its machines in other zones for unsuitable.
+    cluster.cloud.capacity = 0;
+    cluster.workers.task_run_s = 1000;
+    cluster.add_machine("vm-50000a", "a");
+    start_cluster(3);
+    auto shared_zone_job = cluster.make_job(1, JobKind::service, 2);
+    shared_zone_job.task_resources = {60, 8, 400};
+    shared_zone_job.same_zone = true;
+    cluster.submit_and_wait(0, shared_zone_job);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.running_tasks("req-000001") == 1; }, 30));
+    cluster.add_machine("vm-50000b", "b");
+    cluster.run_for(10);
+    for (int number = 2; number <= 9; ++number) {
+        auto job = cluster.make_job(number, JobKind::array);
+        job.task_resources = shared_zone_job.task_resources;
+        cluster.submit_and_wait(0, job);
+    }
+    cluster.workers.task_run_s = 2;
+    for (int number = 2; number <= 9; ++number) {
+        std::string uid = fmt::format("req-{:06}", number);
+        EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished(uid); }, 60)) << uid;
+    }
+}
+
+TEST_F(ThreeControllerPlacementTest, GangWithoutRoomInOneZoneDoesNotHideAGangThatMayBeSpread) {
+    // Guards against a gang that waits beside enough machines: one of the same size whose tasks
+    // must share a zone found no room and spoke for both.
+    cluster.cloud.capacity = 0;
+    for (const char* zone : {"a", "b", "c"}) {
+        cluster.add_machine(std::string("vm-50000") + zone, zone);
+    }
+    start_cluster(3);
+    auto gang = cluster.make_job(1, JobKind::gang, 3);
+    gang.task_resources = {60, 8, 400};
+    for (int number = 1; number <= 8; ++number) {
+        gang.uid = fmt::format("req-{:06}", number);
+        gang.same_zone = number <= 4;
+        cluster.submit_and_wait(0, gang);
+    }
+    cluster.workers.task_run_s = 2;
+    for (int number = 5; number <= 8; ++number) {
+        std::string uid = fmt::format("req-{:06}", number);
+        EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished(uid); }, 90)) << uid;
+    }
+}
+
 TEST_F(PlacementTest, OnlyJobsThatAllowSpotRunOnSpotMachines) {
     start_cluster();
     cluster.cloud.capacity = 0;
