Scale-out: machines for a large array that shares a zone, in that zone

What callers saw: arrays of more than one block whose tasks must share a zone stayed pending: machines were launched in other zones, released as idle, and launched there again.

Cause: the zone of such an array follows from its uid, which only the scheduler knew; the plan took any zone.

Change: PlacementConstraints::fixed_zone names the zone, and the plan requires it. Open: an array whose zone is sold out waits for that zone.

--- a/src/core/autoscaling/scale_out_plan.cpp
+++ b/src/core/autoscaling/scale_out_plan.cpp
@@ -13,6 +13,7 @@
       agent_manager_(agent_manager),
       quota_(quota),
       launcher_(launcher),
+      constraints_(ctx, agent_manager.registry()),
       packing_(agent_manager.registry(),
                collect_bins(ctx, agent_manager.registry(), launcher.pending())) {
     for (const auto& bin : packing_.bins()) {
@@ -73,11 +74,12 @@
     // spot instances.
     demand.best_effort = PlacementConstraints::is_best_effort_spot(spec);
     demand.demand_class.equivalence_class = pending_job.equivalence_class;
-    demand.required_zone = spec.zone;
+    demand.required_zone = constraints_.fixed_zone(job);
+    bool has_fixed_zone = demand.required_zone.has_value();
     if (spec.zone_spread || spec.same_zone) {
         job.each_placement([&](int, const Placement& placement) {
             demand.tasks_by_zone[placement.zone]++;
-            if (spec.same_zone) {
+            if (spec.same_zone && !has_fixed_zone) {
                 demand.required_zone = placement.zone;
             }
             return true;
--- a/src/core/autoscaling/scale_out_plan.hpp
+++ b/src/core/autoscaling/scale_out_plan.hpp
@@ -16,6 +16,7 @@
 #include "core/context/context.hpp"
 #include "core/quota/quota.hpp"
 #include "core/scheduling/pending_queue.hpp"
+#include "core/scheduling/placement_constraints.hpp"
 
 namespace cranemoor::core {
 
@@ -61,6 +62,7 @@
     const AgentManager& agent_manager_;
     const Quota& quota_;
     const MachineLauncher& launcher_;
+    const PlacementConstraints constraints_;
     BinPacking packing_;
     std::map<std::string, int> machines_by_zone_;
     std::map<InstanceKind, int> launches_;
--- a/src/core/scheduling/placement_constraints.cpp
+++ b/src/core/scheduling/placement_constraints.cpp
@@ -39,15 +39,11 @@
                                         machine.type) == spec.machine_types->end()) {
         return false;
     }
-    if ((spec.zone && *spec.zone != machine.zone) || (machine.spot && !spec.spot)) {
+    if (machine.spot && !spec.spot) {
         return false;
     }
-    if (spec.same_zone && spec.kind != JobKind::gang && job.record_count() > 1) {
-        // Concurrent claims on different blocks don't see each other's placements: a zone derived
-        // from the job's uid keeps all of them in the same zone.
-        const auto& zones = ctx_.settings.zones;
-        std::size_t zone_index = stable_hash(spec.uid) % std::max<std::size_t>(1, zones.size());
-        return !spec.zone && zone_index < zones.size() ? zones[zone_index] == machine.zone : true;
+    if (auto zone = fixed_zone(job)) {
+        return *zone == machine.zone;
     }
     bool in_zone = true;
     if (spec.same_zone) {
@@ -58,6 +54,16 @@
     return in_zone;
 }
 
+std::optional<std::string> PlacementConstraints::fixed_zone(const Job& job) const {
+    const JobSpec& spec = job.spec;
+    const auto& zones = ctx_.settings.zones;
+    bool zone_by_uid = spec.same_zone && spec.kind != JobKind::gang && job.record_count() > 1;
+    if (spec.zone || !zone_by_uid || zones.empty()) {
+        return spec.zone;
+    }
+    return zones[stable_hash(spec.uid) % zones.size()];
+}
+
 int PlacementConstraints::spread_allowance(const Job& job, int block, const std::string& zone) {
     int first = job.block_first(block);
     int size = job.block_last(block) - first + 1;
--- a/src/core/scheduling/placement_constraints.hpp
+++ b/src/core/scheduling/placement_constraints.hpp
@@ -3,6 +3,7 @@
 // a machine's free room it may use.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/agents/agent_registry.hpp"
@@ -21,6 +22,10 @@
     /// Whether the job's machine type, zone and spot rules allow its tasks on that machine. A job
     /// whose tasks must run in one zone is allowed only the zone already chosen for it.
     bool allows(const Job& job, const Machine& machine) const;
+    /// The only zone that the job's tasks may ever run in; null: its tasks' placements decide. A
+    /// job of several block records whose tasks must share a zone has one derived from its uid,
+    /// since concurrent claims on different blocks don't see each other's placements.
+    std::optional<std::string> fixed_zone(const Job& job) const;
     /// How much of an offer's free room the job may use. On ordinary machines best-effort spot work
     /// gets only leftover room, and never an empty machine.
     Resources usable_room(const MachineOffer& offer, const JobSpec& spec) const;
--- a/tests/launch_capacity_test.cpp
+++ b/tests/launch_capacity_test.cpp
@@ -78,6 +78,34 @@
     EXPECT_LE(cluster.cloud.launched_machines, 3 + 4);
 }
 
+TEST_F(LaunchCapacityTest, ArrayLeavesAZoneWithoutMachines) {
+    // Guards against an array whose tasks share a zone and that waits for a zone that is sold out.
+    cluster.cloud.capacity_by_kind = {{{cheap.name, "a", false}, 0}, {{cheap.name, "b", false}, 0}};
+    cluster.cloud.types = {cheap};
+    start_cluster(3);
+    JobSpec array = cluster.make_job(1, JobKind::array, 4);
+    array.task_resources = {60, 8, 400};
+    array.same_zone = true;
+    cluster.submit_and_wait(0, array);
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000001"); }, 60));
+}
+
+TEST_F(LaunchCapacityTest, MachinesOfALargeArrayAreLaunchedInItsZone) {
+    // Guards against an array of several blocks that never starts: its zone follows from its uid,
+    // but machines were launched in others, where none of its tasks may run.
+    start_cluster(3);
+    for (int number = 1; number <= 6; ++number) {
+        JobSpec array = cluster.make_job(number, JobKind::array, constants::block_tasks_max + 2);
+        array.task_resources = {0.5, 0, 1};
+        array.same_zone = true;
+        cluster.submit_and_wait(0, array);
+    }
+    for (int number = 1; number <= 6; ++number) {
+        std::string uid = fmt::format("req-{:06}", number);
+        EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished(uid); }, 90)) << uid;
+    }
+}
+
 TEST_F(LaunchCapacityTest, TypeOfferedInTheJobsZoneIsLaunched) {
     // Guards against a job bound to a zone that waits for ever: the type to launch was chosen
     // without regard to the zones in which it is offered.
