Best-effort work gets on-demand machines where no spot is to be had

What callers saw: accepted best-effort jobs that may use spot stayed pending for as long as the cloud had no spot machine, although ordinary ones, which they allow too, were to be had, even beside an empty one.

Found by reading for it.

Change: a job without progress for 30 s, with no spot machine that it allows up, booting or requested, may have ordinary ones: an array or service one empty machine at a time, a gang all that it needs. All controllers see this from the fleet, so nothing is told between them. Spot is asked for first as before.

Measured: BestEffortRunsOnDemandWhereNoSpotIsToBeHad and BestEffortUsesSpotAgainOnceThereIsSome fail on the sources before and pass now; the whole suite passes.

--- a/src/core/autoscaling/bin_packing.cpp
+++ b/src/core/autoscaling/bin_packing.cpp
@@ -85,8 +85,8 @@
                                          bin.kind.type) != spec.machine_types->end();
     bool spot = bin.kind.spot;
     const MachineType* type = agents_.type(bin.kind.type);
-    bool leftovers_only =
-        demand.best_effort && !spot && spec.task_resources.gpus <= 0 && type != nullptr;
+    bool leftovers_only = demand.demand_class.best_effort && !spot &&
+                          spec.task_resources.gpus <= 0 && type != nullptr;
     return type_allowed && (!spot || spec.spot) &&
            (!demand.demand_class.prefers_spot || spot || !bin.empty) &&
            spec.task_resources.fits_in(
--- a/src/core/autoscaling/bin_packing.hpp
+++ b/src/core/autoscaling/bin_packing.hpp
@@ -30,10 +30,11 @@
 struct DemandClass {
     int equivalence_class = 0;  ///< PendingJob::equivalence_class
     bool prefers_spot = false;  ///< empty on-demand machines only for lack of spot
+    bool best_effort = false;   ///< only leftover resources of on-demand machines
 
     friend bool operator<(const DemandClass& a, const DemandClass& b) {
-        return std::tie(a.equivalence_class, a.prefers_spot) <
-               std::tie(b.equivalence_class, b.prefers_spot);
+        return std::tie(a.equivalence_class, a.prefers_spot, a.best_effort) <
+               std::tie(b.equivalence_class, b.prefers_spot, b.best_effort);
     }
 };
 
@@ -41,7 +42,6 @@
 struct TaskDemand {
     const JobSpec* spec = nullptr;
     const LaunchOptions* options = nullptr;  ///< what may be launched for a task
-    bool best_effort = false;                ///< uses only leftover resources of on-demand machines
     DemandClass demand_class;
     std::optional<std::string> required_zone;  ///< all tasks must be in it; null: no restriction
     std::map<std::string, int> tasks_by_zone;  ///< tasks placed so far
--- a/src/core/autoscaling/launch_options.cpp
+++ b/src/core/autoscaling/launch_options.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "core/scheduling/placement_constraints.hpp"
-
 namespace cranemoor::core {
 
 namespace {
@@ -43,7 +41,8 @@
 
 }  // namespace
 
-LaunchOptions launch_options_for(const std::vector<MachineType>& types, const JobSpec& spec) {
+LaunchOptions launch_options_for(const std::vector<MachineType>& types, const JobSpec& spec,
+                                 bool spot_only) {
     std::vector<LaunchOption> options;
     for (const auto& type : types) {
         if (!is_allowed(spec, type)) {
@@ -52,7 +51,7 @@
         if (spec.spot) {
             options.push_back({&type, true});
         }
-        if (!PlacementConstraints::is_best_effort_spot(spec)) {
+        if (!spot_only) {
             options.push_back({&type, false});
         }
     }
@@ -61,6 +60,7 @@
 
 LaunchOptions launch_options_for_headroom(const std::vector<MachineType>& types, bool spot) {
     std::vector<LaunchOption> options;
+    options.reserve(types.size());
     for (const auto& type : types) {
         options.push_back({&type, spot});
     }
--- a/src/core/autoscaling/launch_options.hpp
+++ b/src/core/autoscaling/launch_options.hpp
@@ -24,10 +24,10 @@
     std::vector<std::string> zones;      ///< in which at least one of them is offered
 };
 
-/// The options for a job's tasks: the types that the job allows and that a task fits, on demand
-/// and, if the job may use them, as spot instances. For best-effort jobs that may use spot
-/// instances there are no others.
-LaunchOptions launch_options_for(const std::vector<MachineType>& types, const JobSpec& spec);
+/// The options for a job's tasks: the types that the job allows and that a task fits, as spot
+/// instances if the job may use them, and on demand unless `spot_only`.
+LaunchOptions launch_options_for(const std::vector<MachineType>& types, const JobSpec& spec,
+                                 bool spot_only);
 
 /// All machine types, either as spot instances or on demand.
 LaunchOptions launch_options_for_headroom(const std::vector<MachineType>& types, bool spot);
--- a/src/core/autoscaling/scale_out_plan.cpp
+++ b/src/core/autoscaling/scale_out_plan.cpp
@@ -24,7 +24,11 @@
 void ScaleOutPlan::add_job(const PendingJob& pending_job) {
     const Job& job = *pending_job.job;
     const JobSpec& spec = job.spec;
-    const LaunchOptions& options = options_for(pending_job);
+    // Best-effort work gets on-demand machines only while it finds no spot instance, and then one
+    // at a time; a gang needs as many as it has tasks.
+    bool lacks_spot = PlacementConstraints::is_best_effort_spot(spec) && finds_no_spot(pending_job);
+    bool best_effort = PlacementConstraints::is_best_effort_spot(spec) && !lacks_spot;
+    const LaunchOptions& options = options_for(pending_job, best_effort);
     // Nothing is launched for a job that is likely to fail again, unless it has been pending for
     // long: it must get its retries.
     bool likely_to_fail = job.fails_repeatedly() && ctx_.now.steady - pending_job.pending_since_s <
@@ -32,13 +36,14 @@
     if (options.in_order.empty() || likely_to_fail) {
         return;
     }
-    TaskDemand demand = demand_of(pending_job, options);
+    TaskDemand demand = demand_of(pending_job, options, best_effort);
     // Without zone constraints, all tasks of a demand class can go to the same bins.
     bool any_zone = !spec.zone_spread && !spec.same_zone && !spec.zone;
     if (any_zone && unplaceable_.contains(demand.demand_class)) {
         return;
     }
-    for (int i = 0; i < job.open(); ++i) {
+    int tasks = lacks_spot && spec.kind != JobKind::gang ? 1 : job.open();
+    for (int i = 0; i < tasks; ++i) {
         Resources planned = planned_by_team_[spec.team] + spec.task_resources;
         if (!quota_.within_limit(spec.team, planned)) {
             return;
@@ -54,26 +59,51 @@
 }
 
 // Jobs of one equivalence class differ in nothing that their options depend on.
-const LaunchOptions& ScaleOutPlan::options_for(const PendingJob& pending_job) {
-    auto [entry, is_new] = options_by_class_.try_emplace(pending_job.equivalence_class);
+const LaunchOptions& ScaleOutPlan::options_for(const PendingJob& pending_job, bool spot_only) {
+    auto [entry, is_new] =
+        options_by_class_.try_emplace({pending_job.equivalence_class, spot_only});
     if (is_new) {
         entry->second =
-            launch_options_for(agent_manager_.registry().types(), pending_job.job->spec);
+            launch_options_for(agent_manager_.registry().types(), pending_job.job->spec, spot_only);
     }
     return entry->second;
 }
 
-TaskDemand ScaleOutPlan::demand_of(const PendingJob& pending_job,
-                                   const LaunchOptions& options) const {
+// Whether the job has made no progress for long and no spot instance on which it could run is up,
+// booting or requested. See MachineScoring::may_use_empty_machine, which places its tasks.
+bool ScaleOutPlan::finds_no_spot(const PendingJob& pending_job) {
+    if (ctx_.now.steady - pending_job.last_progress_at_s < constants::best_effort_spot_wait_s) {
+        return false;
+    }
+    auto zone = constraints_.fixed_zone(*pending_job.job);
+    auto [entry, is_new] = has_spot_.try_emplace({pending_job.equivalence_class, zone});
+    if (is_new) {
+        entry->second = has_spot_bin(options_for(pending_job, /*spot_only=*/true), zone);
+    }
+    return !entry->second;
+}
+
+bool ScaleOutPlan::has_spot_bin(const LaunchOptions& options,
+                                const std::optional<std::string>& zone) const {
+    auto is_allowed_type = [&](const Bin& bin) {
+        return std::any_of(
+            options.in_order.begin(), options.in_order.end(),
+            [&](const LaunchOption& option) { return option.type->name == bin.kind.type; });
+    };
+    return std::any_of(packing_.bins().begin(), packing_.bins().end(), [&](const Bin& bin) {
+        return bin.kind.spot && (!zone || *zone == bin.kind.zone) && is_allowed_type(bin);
+    });
+}
+
+TaskDemand ScaleOutPlan::demand_of(const PendingJob& pending_job, const LaunchOptions& options,
+                                   bool best_effort) const {
     const Job& job = *pending_job.job;
     const JobSpec& spec = job.spec;
     TaskDemand demand;
     demand.spec = &spec;
     demand.options = &options;
-    // For best-effort jobs spot instances are launched; on-demand ones only if the job may not use
-    // spot instances.
-    demand.best_effort = PlacementConstraints::is_best_effort_spot(spec);
     demand.demand_class.equivalence_class = pending_job.equivalence_class;
+    demand.demand_class.best_effort = best_effort;
     demand.required_zone = constraints_.fixed_zone(job);
     bool has_fixed_zone = demand.required_zone.has_value();
     if (spec.zone_spread || spec.same_zone) {
@@ -139,7 +169,7 @@
 }
 
 // The zones in which the job already has as many tasks as its zone spread allows.
-ScaleOutPlan::Zones ScaleOutPlan::full_zones(const TaskDemand& demand) const {
+ScaleOutPlan::Zones ScaleOutPlan::full_zones(const TaskDemand& demand) {
     Zones full;
     for (const auto& [zone, tasks] : demand.tasks_by_zone) {
         if (tasks >= (demand.spec->tasks + 1) / 2) {
@@ -175,8 +205,8 @@
 // A job that may use spot instances takes an empty on-demand machine only if no spot instance can
 // be launched for it.
 bool ScaleOutPlan::prefers_spot(const TaskDemand& demand, const Zones& excluded) const {
-    if (!demand.spec->spot || demand.best_effort) {
-        return demand.best_effort;
+    if (!demand.spec->spot || demand.demand_class.best_effort) {
+        return demand.demand_class.best_effort;
     }
     auto kind = first_available(*demand.options, demand.required_zone, excluded);
     return kind && kind->spot;
--- a/src/core/autoscaling/scale_out_plan.hpp
+++ b/src/core/autoscaling/scale_out_plan.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "core/agents/agent_manager.hpp"
 #include "core/autoscaling/bin_packing.hpp"
@@ -42,11 +43,14 @@
   private:
     using Zones = std::set<std::string>;
 
-    const LaunchOptions& options_for(const PendingJob& pending_job);
-    TaskDemand demand_of(const PendingJob& pending_job, const LaunchOptions& options) const;
+    const LaunchOptions& options_for(const PendingJob& pending_job, bool spot_only);
+    bool finds_no_spot(const PendingJob& pending_job);
+    bool has_spot_bin(const LaunchOptions& options, const std::optional<std::string>& zone) const;
+    TaskDemand demand_of(const PendingJob& pending_job, const LaunchOptions& options,
+                         bool best_effort) const;
     std::optional<std::string> choose_shared_zone(TaskDemand demand, const Job& job) const;
     bool place_task(TaskDemand& demand);
-    Zones full_zones(const TaskDemand& demand) const;
+    static Zones full_zones(const TaskDemand& demand);
     std::size_t first_fit(const TaskDemand& demand, const Zones& excluded);
     bool launch_for(const TaskDemand& demand, const Zones& excluded);
     bool prefers_spot(const TaskDemand& demand, const Zones& excluded) const;
@@ -66,7 +70,10 @@
     BinPacking packing_;
     std::map<std::string, int> machines_by_zone_;
     std::map<InstanceKind, int> launches_;
-    std::map<int, LaunchOptions> options_by_class_;     // by PendingJob::equivalence_class
+    // By PendingJob::equivalence_class, and whether only spot instances are launched.
+    std::map<std::pair<int, bool>, LaunchOptions> options_by_class_;
+    // Results of `has_spot_bin`, by PendingJob::equivalence_class and fixed zone.
+    std::map<std::pair<int, std::optional<std::string>>, bool> has_spot_;
     std::map<std::string, Resources> planned_by_team_;  // resources of the tasks considered so far
     // Demand classes that fit no bin, and for which nothing more can be launched.
     std::set<DemandClass> unplaceable_;
--- a/src/core/scheduling/machine_scoring.cpp
+++ b/src/core/scheduling/machine_scoring.cpp
@@ -88,17 +88,47 @@
     const auto& machines = agents_.all();
     return std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
         const MachineType* type = machine->spot ? agents_.type(machine->type) : nullptr;
-        if (type == nullptr || machine->interruption_deadline) {
-            return false;
-        }
-        bool is_booting =
-            ctx_.now.steady - machine->launched_at < type->boot_s * constants::boot_late_factor;
-        return (machine->up() || is_booting) &&
+        return type != nullptr && is_coming_up_or_up(*machine, *type) &&
                job.spec.task_resources.fits_in(agents_.free_resources(*machine)) &&
                !agents_.placements_on(*machine).cordon && constraints_.allows(job, *machine);
     });
 }
 
+bool MachineScoring::is_coming_up_or_up(const Machine& machine, const MachineType& type) const {
+    bool is_booting =
+        ctx_.now.steady - machine.launched_at < type.boot_s * constants::boot_late_factor;
+    return !machine.interruption_deadline && (machine.up() || is_booting);
+}
+
+bool MachineScoring::may_use_empty_machine(SchedulingRound& round,
+                                           const PendingJob& pending) const {
+    double waited_s = ctx_.now.steady - pending.last_progress_at_s;
+    if (!PlacementConstraints::is_best_effort_spot(pending.job->spec) ||
+        waited_s < constants::best_effort_spot_wait_s) {
+        return false;
+    }
+    if (pending.job->spec.same_zone) {
+        return !any_spot_machine(*pending.job);  // depends on where its other tasks are placed
+    }
+    FleetQuery question{FleetQuery::Kind::has_spot_machine, pending.equivalence_class, 0, 0};
+    auto [answer, is_new] = round.query_results.try_emplace(question, false);
+    if (is_new) {
+        answer->second = any_spot_machine(*pending.job);
+    }
+    return !answer->second;
+}
+
+// Whether a spot machine on which the job could run, once it has room, is up or booting.
+bool MachineScoring::any_spot_machine(const Job& job) const {
+    const auto& machines = agents_.all();
+    return std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+        const MachineType* type = machine->spot ? agents_.type(machine->type) : nullptr;
+        return type != nullptr && is_coming_up_or_up(*machine, *type) &&
+               job.spec.task_resources.fits_in(type->size) &&
+               !agents_.placements_on(*machine).cordon && constraints_.allows(job, *machine);
+    });
+}
+
 bool MachineScoring::may_find_image(SchedulingRound& round, const PendingJob& pending) const {
     const Job& job = *pending.job;
     bool is_unstarted_gang = job.spec.kind == JobKind::gang && job.done() == 0;
--- a/src/core/scheduling/machine_scoring.hpp
+++ b/src/core/scheduling/machine_scoring.hpp
@@ -33,6 +33,10 @@
     /// with room for it is up or booting.
     bool fits_spot_machine(SchedulingRound& round, const MachineOffer& offer,
                            const PendingJob& pending) const;
+    /// Whether best-effort work that prefers spot machines may use an empty ordinary one: it has
+    /// made no progress for `constants::best_effort_spot_wait_s`, and no spot machine on which it
+    /// could run is up or booting.
+    bool may_use_empty_machine(SchedulingRound& round, const PendingJob& pending) const;
     /// Whether enough machines with the job's image (for a gang, one for each task) have room or
     /// are expected to have it within the delay scheduling wait W. Otherwise waiting only delays
     /// the start (section 3.5.1 of the delay scheduling paper, on long tasks and hotspots).
@@ -45,6 +49,8 @@
   private:
     bool any_machine_in_use_fits(const Job& job) const;
     bool any_spot_machine_fits(const Job& job) const;
+    bool any_spot_machine(const Job& job) const;
+    bool is_coming_up_or_up(const Machine& machine, const MachineType& type) const;
     bool enough_machines_with_image(const Job& job, int image, int needed) const;
     Resources room_within_wait(const Machine& machine) const;
 
--- a/src/core/scheduling/scheduler.cpp
+++ b/src/core/scheduling/scheduler.cpp
@@ -112,17 +112,20 @@
         }
         return;
     }
-    if (round.unplaceable_classes.contains(pending.equivalence_class)) {
+    bool may_use_empty = scoring_.may_use_empty_machine(round, pending);
+    std::set<int>& unplaceable_classes =
+        may_use_empty ? round.unplaceable_on_empty_classes : round.unplaceable_classes;
+    if (unplaceable_classes.contains(pending.equivalence_class)) {
         if (is_gang) {
             reservations_.reserve_for_gang(round, pending);
         }
         return;
     }
-    auto [candidates, any_fits] = filter_and_score(round, pending);
+    auto [candidates, any_fits] = filter_and_score(round, pending, may_use_empty);
     // Jobs whose tasks must share a zone are each bound to another one: what does not fit there
     // says nothing of the next job.
     if (!any_fits && !spec.same_zone) {
-        round.unplaceable_classes.insert(pending.equivalence_class);
+        unplaceable_classes.insert(pending.equivalence_class);
     }
     sort_candidates(candidates);
     if (!candidates.empty() && task_claims_.claim(job, candidates) > 0) {
@@ -132,13 +135,18 @@
     }
 }
 
+// `may_use_empty` allows best-effort work one empty ordinary machine.
 Scheduler::FilterResult Scheduler::filter_and_score(SchedulingRound& round,
-                                                    const PendingJob& pending) {
+                                                    const PendingJob& pending, bool may_use_empty) {
     const Job& job = *pending.job;
     bool is_gang = job.spec.kind == JobKind::gang && job.done() == 0;
     FilterResult filtered;
     for (auto& offer : round.offers) {
-        if (!offer.owned_by_us || !constraints_.fits(offer, job)) {
+        bool takes_all_room = may_use_empty && offer.is_empty && !offer.machine->spot;
+        bool fits = takes_all_room ? job.spec.task_resources.fits_in(offer.room) &&
+                                         constraints_.allows(job, *offer.machine)
+                                   : constraints_.fits(offer, job);
+        if (!offer.owned_by_us || !fits) {
             continue;
         }
         filtered.any_fits = true;
@@ -150,7 +158,9 @@
             delay_scheduling_.skip(job.spec.uid);
             continue;
         }
-        filtered.candidates.push_back({&offer, assessment.has_image, scoring_.score(offer, job)});
+        filtered.candidates.push_back(
+            {&offer, assessment.has_image, scoring_.score(offer, job), takes_all_room});
+        may_use_empty = may_use_empty && !takes_all_room;
     }
     return filtered;
 }
--- a/src/core/scheduling/scheduler.hpp
+++ b/src/core/scheduling/scheduler.hpp
@@ -68,7 +68,8 @@
     void collect_offers(SchedulingRound& round, bool owned_by_us) const;
     bool may_place_now(const PendingJob& pending) const;
     void place_job(SchedulingRound& round, const PendingJob& pending);
-    FilterResult filter_and_score(SchedulingRound& round, const PendingJob& pending);
+    FilterResult filter_and_score(SchedulingRound& round, const PendingJob& pending,
+                                  bool may_use_empty);
     OfferAssessment assess_offer(SchedulingRound& round, const MachineOffer& offer,
                                  const PendingJob& pending, bool is_gang) const;
     bool should_skip_offer(SchedulingRound& round, const MachineOffer& offer,
--- a/src/core/scheduling/scheduling_round.hpp
+++ b/src/core/scheduling/scheduling_round.hpp
@@ -41,6 +41,8 @@
     bool has_image = false;
     /// See MachineScoring::score: the lowest score is used first.
     double score = 0;
+    /// The job may use all of the machine's room, see MachineScoring::may_use_empty_machine.
+    bool may_use_all_room = false;
 };
 
 /// Sorts candidates into the order of use: machines with the job's image first, then by score.
@@ -49,7 +51,7 @@
 
 /// A query over all machines whose result is the same for every job of an equivalence class.
 struct FleetQuery {
-    enum class Kind { fits_machine_in_use, fits_spot_machine, finds_image };
+    enum class Kind { fits_machine_in_use, fits_spot_machine, has_spot_machine, finds_image };
     Kind kind = Kind::fits_machine_in_use;
     int equivalence_class = 0;
     int image = 0;
@@ -78,6 +80,8 @@
     bool includes_other_owners = false;
     /// Equivalence classes of jobs that fit no offer of this controller's machines.
     std::set<int> unplaceable_classes;
+    /// The same for best-effort work that may use an empty machine.
+    std::set<int> unplaceable_on_empty_classes;
     /// Gangs, by size, that fit no set of offers.
     std::set<GangSize> unplaceable_gangs;
     /// Results of the queries made in this round.
--- a/src/core/scheduling/task_claims.cpp
+++ b/src/core/scheduling/task_claims.cpp
@@ -23,14 +23,15 @@
     // The offer for the next task, or nullptr if no candidate accepts it. `first_offer` is the
     // offer of the claim's first task, nullptr if this is the first.
     MachineOffer* next(const MachineOffer* first_offer) {
-        while (current_ != end_ && !accepts(*current_->offer, first_offer)) {
+        while (current_ != end_ && !accepts(*current_, first_offer)) {
             ++current_;
         }
         return current_ == end_ ? nullptr : current_->offer;
     }
 
   private:
-    bool accepts(const MachineOffer& offer, const MachineOffer* first_offer) {
+    bool accepts(const Candidate& candidate, const MachineOffer* first_offer) {
+        const MachineOffer& offer = *candidate.offer;
         // The candidates of one claim may be in several zones: the first task of a job whose tasks
         // must run in one zone decides the zone, even if that task belongs to this claim.
         const std::string& zone = offer.machine->zone;
@@ -41,8 +42,9 @@
         if (is_new) {
             allowance->second = PlacementConstraints::spread_allowance(job_, block_, zone);
         }
-        if (allowance->second <= 0 ||
-            !job_.spec.task_resources.fits_in(constraints_.usable_room(offer, job_.spec))) {
+        Resources room =
+            candidate.may_use_all_room ? offer.room : constraints_.usable_room(offer, job_.spec);
+        if (allowance->second <= 0 || !job_.spec.task_resources.fits_in(room)) {
             return false;
         }
         --allowance->second;
--- a/tests/launch_capacity_test.cpp
+++ b/tests/launch_capacity_test.cpp
@@ -129,6 +129,45 @@
     EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000001"); }, 60));
 }
 
+TEST_F(LaunchCapacityTest, BestEffortRunsOnDemandWhereNoSpotIsToBeHad) {
+    // Guards against best-effort jobs that never start: only spot instances were launched for them,
+    // and empty on-demand machines were closed to them, however long spot was sold out.
+    cluster.cloud.set_capacity(cheap, true, 0);
+    cluster.cloud.set_capacity(dear, true, 0);
+    start_cluster(3);
+    JobSpec sweep = cluster.make_job(1, JobKind::array, 12);
+    sweep.task_resources = {32, 0, 16};
+    sweep.priority = Priority::best_effort;
+    sweep.spot = true;
+    cluster.submit_and_wait(0, sweep);
+    JobSpec gang = whole_machine_gang(2, 2);
+    gang.priority = Priority::best_effort;
+    gang.spot = true;
+    cluster.submit_and_wait(1, gang);
+    cluster.run_for(constants::best_effort_spot_wait_s - 1);
+    EXPECT_EQ(cluster.cloud.launched_machines, 0);
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000002"); }, 60));
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000001"); }, 240));
+    EXPECT_LE(cluster.cloud.launched_machines, 6);
+}
+
+TEST_F(LaunchCapacityTest, BestEffortUsesSpotAgainOnceThereIsSome) {
+    // Guards against best-effort work that stays on demand once spot is to be had again.
+    cluster.cloud.set_capacity(cheap, true, 0);
+    cluster.cloud.set_capacity(dear, true, 0);
+    start_cluster(3);
+    JobSpec sweep = cluster.make_job(1, JobKind::array, 40);
+    sweep.task_resources = {32, 0, 16};
+    sweep.priority = Priority::best_effort;
+    sweep.spot = true;
+    cluster.submit_and_wait(0, sweep);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.running_tasks("req-000001") > 0; }, 60));
+    cluster.cloud.set_capacity(cheap, true, 100);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.is_finished("req-000001"); }, 60));
+    auto on_demand = [](const auto& item) { return !item.second.info.spot; };
+    EXPECT_LE(std::count_if(cluster.machines.begin(), cluster.machines.end(), on_demand), 2);
+}
+
 TEST_F(LaunchCapacityTest, SpreadJobLaunchesNoMoreThanItNeedsWhereSpotIsRefused) {
     // Guards against a launch at every plan: on-demand machines launched in zones without spot
     // capacity did not count as room while another zone had some, although the spread was full.
