--- a/src/core/model/constants.hpp
+++ b/src/core/model/constants.hpp
@@ -222,8 +222,8 @@
 /// come up within that time of each other.
 inline constexpr double contended_fetch_wait_max_s = 10.0;
 /// How long best-effort work waits without progress, while no spot machine that it allows is up or
-/// booting, before it gets ordinary machines: longer than launch requests for all spot machines take
-/// to be refused, and than the cloud's list lags.
+/// booting, before it gets ordinary machines: longer than launch requests for all spot machines
+/// take to be refused, and than the cloud's list lags.
 inline constexpr double best_effort_spot_wait_s = 30.0;
 /// How long work that may run on a spot machine leaves empty ordinary machines alone.
 inline constexpr double spot_machine_wait_s = 6.0;
