Log: a line names the message when a controller ends by itself, and what was refused

Change: SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT are handled on a stack of their own and write one line with async-signal-safe means: the signal, the method, path, source, step and length of the message being handled, its first and last eight bytes and the fencing token. The process then ends with that signal. An exception that reaches main writes the same.

--- a/src/core/membership/leader_election.cpp
+++ b/src/core/membership/leader_election.cpp
@@ -9,12 +9,19 @@
     if (revision == observed_revision_) {
         return false;
     }
+    bool is_first = observed_revision_ == 0;
     observed_revision_ = revision;
     const auto& epoch = ctx_.jobs.epoch();
     bool is_member = false;
     if (epoch) {
         const Member* member = epoch->find(ctx_.settings.name);
         is_member = member != nullptr && member->boot == ctx_.boot_id;
+        if (is_first && member != nullptr && !is_member) {
+            ctx_.info(
+                "epoch {}: an earlier run of this controller, member since epoch {}, ended "
+                "without leaving",
+                epoch->number, member->id);
+        }
         ctx_.fencing_token = epoch->number;
         if (is_member) {
             ctx_.self = *member;
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -35,6 +35,25 @@
     store_contact_.refresh_safe_time();
     peers_.tick();
     apply_noted_cancellations();
+    log_permissions();
+}
+
+// Why answers and starts are missing from here on, or are given again.
+void Membership::log_permissions() {
+    bool answers_workers = may_answer_workers();
+    bool starts_tasks = answers_workers && may_start_tasks();
+    if (answers_workers == answers_workers_ && starts_tasks == starts_tasks_) {
+        return;
+    }
+    answers_workers_ = answers_workers;
+    starts_tasks_ = starts_tasks;
+    ctx_.info(
+        "epoch {}: workers are {}answered, tasks are {}started: {}, records {}, cancellations "
+        "unknown for {:.1f} s",
+        ctx_.fencing_token, answers_workers ? "" : "not ", starts_tasks ? "" : "not ",
+        ctx_.is_member ? "a member" : "no member",
+        ctx_.replica_complete ? "complete" : "incomplete",
+        std::max(0.0, cancellations_unknown_for_s()));
 }
 
 void Membership::on_replica_changed() {
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -80,6 +80,7 @@
   private:
     void on_replica_changed();
     void apply_noted_cancellations();
+    void log_permissions();
     double cancellations_unknown_for_s() const;
 
     Context& ctx_;
@@ -89,6 +90,8 @@
     ReplicaSync replica_;
     PeerContact peers_;
     bool has_unapplied_cancellation_ = false;  // on_change not called for it yet
+    bool answers_workers_ = false;             // as last logged
+    bool starts_tasks_ = false;                // as last logged
 };
 
 }  // namespace cranemoor::core
--- a/src/core/model/constants.hpp
+++ b/src/core/model/constants.hpp
@@ -482,6 +482,8 @@
 inline constexpr double idle_timeout_s = 120;
 /// Interval between checks for connections beyond these timeouts.
 inline constexpr double connection_check_interval_s = 2;
+/// Interval between log lines about refused messages.
+inline constexpr double refused_messages_log_interval_s = 10.0;
 /// Connections accepted in one batch.
 inline constexpr int accept_batch_connections_max = 64;
 /// Connections that the kernel may queue before they are accepted.
--- a/src/io/cloud_client.cpp
+++ b/src/io/cloud_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/model/constants.hpp"
+#include "io/crash_report.hpp"
 #include "wire/cloud_messages.hpp"
 
 namespace cranemoor::io {
@@ -16,8 +17,11 @@
 
 }  // namespace
 
-CloudClient::CloudClient(Loop& loop, const core::Settings& settings, Callback callback)
-    : callback_(std::move(callback)),
+CloudClient::CloudClient(Loop& loop, const core::Settings& settings,
+                         RefusedMessages& refused_messages, Callback callback)
+    : refused_messages_(refused_messages),
+      source_("cloud " + settings.cloud_address),
+      callback_(std::move(callback)),
       client_(loop, settings.cloud_address, constants::cloud_connections_max,
               constants::cloud_response_bytes_max),
       request_bucket_(settings.cloud_requests_per_s * constants::cloud_request_share,
@@ -50,7 +54,9 @@
 void CloudClient::send(const core::CloudCall& call) {
     auto request = wire::cloud_request(call);
     client_.request(request.method, request.target, request.body, constants::cloud_timeout_s,
-                    [this, call](const HttpMessage* response) {
+                    [this, call, method = request.method,
+                     target = request.target](const HttpMessage* response) {
+                        HandledMessage scope({source_, method, target, body_of(response)});
                         core::CloudReply reply;
                         if (response != nullptr) {
                             reply =
--- a/src/io/cloud_client.hpp
+++ b/src/io/cloud_client.hpp
@@ -8,6 +8,7 @@
 #include "core/model/actions.hpp"
 #include "core/model/budget.hpp"
 #include "io/http_client.hpp"
+#include "io/refused_messages.hpp"
 
 namespace cranemoor::io {
 
@@ -18,8 +19,9 @@
     /// Called once per call, with its id and the reply.
     using Callback = std::function<void(std::uint64_t id, const core::CloudReply&)>;
 
-    /// `callback` may make further calls.
-    CloudClient(Loop& loop, const core::Settings& settings, Callback callback);
+    /// `callback` may make further calls; `refused_messages` counts replies that can't be decoded.
+    CloudClient(Loop& loop, const core::Settings& settings, RefusedMessages& refused_messages,
+                Callback callback);
 
     /// Queues a call and sends it as soon as the rate limit allows.
     void call(core::CloudCall call);
@@ -28,6 +30,8 @@
     void send_queued();
     void send(const core::CloudCall& call);
 
+    RefusedMessages& refused_messages_;
+    const std::string source_;  // names the cloud in log lines
     Callback callback_;
     HttpClient client_;
     core::TokenBucket request_bucket_;
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/model/constants.hpp"
+#include "io/crash_report.hpp"
 #include "io/http_status.hpp"
 #include "wire/peer_messages.hpp"
 #include "wire/user_messages.hpp"
@@ -16,6 +17,22 @@
 
 namespace constants = core::constants;
 
+namespace {
+
+constexpr const char* client_listener = "users and workers";
+constexpr const char* peer_listener = "controllers";
+
+std::string path_of(const std::string& target) {
+    return target.substr(0, target.find('?'));
+}
+
+bool is_known_path(const std::string& path) {
+    return path == wire::health_path || path == wire::heartbeat_path ||
+           path == wire::submission_path || path == wire::peer_path;
+}
+
+}  // namespace
+
 Gateway::Gateway(Loop& loop, const core::Settings& settings, core::Controller& controller)
     : loop_(loop),
       settings_(settings),
@@ -27,22 +44,25 @@
       peer_server_(
           loop, settings.peer_listen_address, constants::peer_server_connections_max,
           [this](std::uint64_t request, HttpMessage&& message) { serve_peer(request, message); }),
-      store_client_(loop, settings,
+      store_client_(loop, settings, refused_messages_,
                     [this](std::uint64_t call, const core::StoreReply& reply) {
                         controller_.store_reply(Loop::now(), call, reply);
                         perform_actions();
                     }),
-      cloud_client_(loop, settings,
+      cloud_client_(loop, settings, refused_messages_,
                     [this](std::uint64_t call, const core::CloudReply& reply) {
                         controller_.cloud_reply(Loop::now(), call, reply);
                         perform_actions();
                     }),
-      tick_timer_(loop,
-                  [this] {
-                      controller_.tick(Loop::now());
-                      perform_actions();
-                  }),
-      prune_timer_(loop, [this] { prune_worker_clients(); }) {
+      tick_timer_(loop, [this] { tick(); }),
+      prune_timer_(loop, [this] { prune_worker_clients(); }),
+      refused_messages_timer_(loop, [this] { log_refused_messages(); }) {
+    client_server_.on_reject = [this](const std::string& target, int status) {
+        count_rejected(client_listener, target, status);
+    };
+    peer_server_.on_reject = [this](const std::string& target, int status) {
+        count_rejected(peer_listener, target, status);
+    };
     for (const auto& peer : settings.peers) {
         peer_clients_[peer.name] =
             std::make_unique<HttpClient>(loop, peer.address, constants::peer_client_connections_max,
@@ -56,12 +76,41 @@
     tick_timer_.start(constants::core_tick_interval_s, constants::core_tick_interval_s);
     prune_timer_.start(constants::worker_client_prune_interval_s,
                        constants::worker_client_prune_interval_s);
+    refused_messages_timer_.start(constants::refused_messages_log_interval_s,
+                                  constants::refused_messages_log_interval_s);
+}
+
+void Gateway::tick() {
+    HandledMessage scope({"timer", "", "tick", ""});
+    controller_.tick(Loop::now());
+    perform_actions();
+}
+
+// --- messages that can't be read
+
+void Gateway::log_refused_messages() {
+    std::string summary = refused_messages_.take_summary();
+    if (!summary.empty()) {
+        spdlog::info("messages refused: {}", summary);
+    }
+}
+
+// Counts a request that the server rejected before it was complete.
+void Gateway::count_rejected(const std::string& listener, const std::string& target, int status) {
+    std::string path = path_of(target);
+    refused_messages_.count(is_known_path(path) ? path : "other path of " + listener,
+                            status == http_status::payload_too_large ? "too large" : "not HTTP");
 }
 
 // --- requests from users and workers
 
 void Gateway::serve_client(std::uint64_t request, const HttpMessage& message) {
-    std::string path = message.target.substr(0, message.target.find('?'));
+    HandledMessage scope({client_listener, message.method, message.target, message.body});
+    route_client(request, message);
+}
+
+void Gateway::route_client(std::uint64_t request, const HttpMessage& message) {
+    std::string path = path_of(message.target);
     if (path == wire::health_path && message.method == "GET") {
         serve_health(request);
     } else if (path == wire::heartbeat_path && message.method == "POST") {
@@ -82,21 +131,31 @@
 
 void Gateway::serve_heartbeat(std::uint64_t request, const std::string& body) {
     core::Now now = Loop::now();
+    HandledMessage::set_step("decode_heartbeat_body");
     auto heartbeat = wire::decode_heartbeat_body(body);
     if (!heartbeat) {
+        refused_messages_.count(wire::heartbeat_path, heartbeat.error().message);
         client_server_.reply(request, http_status::bad_request, "");
         return;
     }
+    HandledMessage::set_step("handle_heartbeat");
+    spdlog::debug(
+        "request {}: heartbeat of machine {}, agent epoch {}, number {}, token {}, {} tasks",
+        request, heartbeat->machine, heartbeat->agent_epoch, heartbeat->seq, heartbeat->token,
+        heartbeat->tasks.size());
     controller_.handle_heartbeat(now, request, *heartbeat, false);
     perform_actions();
 }
 
 void Gateway::serve_submission(std::uint64_t request, const std::string& body) {
     core::Now now = Loop::now();
+    HandledMessage::set_step("decode_submission");
     auto spec = wire::decode_submission(body);
+    HandledMessage::set_step("submit");
     if (spec) {
         controller_.submit(now, request, *spec);
     } else {
+        refused_messages_.count(wire::submission_path, spec.error().error.message);
         controller_.submit_malformed(now, request, spec.error().uid, spec.error().error.message);
     }
     perform_actions();
@@ -121,8 +180,7 @@
 
 // Rejects an unknown path, or a known path with the wrong method.
 void Gateway::serve_unrouted(std::uint64_t request, const std::string& path) {
-    bool is_known =
-        path == wire::health_path || path == wire::heartbeat_path || path == wire::submission_path;
+    bool is_known = is_known_path(path) && path != wire::peer_path;
     client_server_.reply(request,
                          is_known ? http_status::method_not_allowed : http_status::not_found, "");
     perform_actions();
@@ -131,15 +189,23 @@
 // --- requests from the other controllers
 
 void Gateway::serve_peer(std::uint64_t request, const HttpMessage& message) {
+    HandledMessage scope({peer_listener, message.method, message.target, message.body});
+    route_peer(request, message);
+}
+
+void Gateway::route_peer(std::uint64_t request, const HttpMessage& message) {
     if (message.method != "POST" || message.target != wire::peer_path) {
         peer_server_.reply(request, http_status::not_found, "");
         return;
     }
+    HandledMessage::set_step("decode_peer_call");
     auto decoded = wire::decode_peer_call(message.body);
     if (!decoded) {
+        refused_messages_.count(wire::peer_path, decoded.error().message);
         peer_server_.reply(request, http_status::bad_request, "");
         return;
     }
+    HandledMessage::set_step("peer_message");
     const core::PeerCall& call = decoded->call;
     controller_.peer_message(Loop::now(), decoded->from, call);
     if (call.relayed_heartbeat) {
@@ -167,17 +233,22 @@
         }
     }
     is_performing_ = false;
+    set_reported_token(controller_.context().fencing_token);
 }
 
 void Gateway::perform(const core::UserReply& reply) {
     // A 503 closes the connection, so that the load balancer can choose another controller for the
     // next request.
     bool refused = reply.status == http_status::service_unavailable;
+    spdlog::debug("request {}: reply {} to a user, job {} {} {}", reply.request, reply.status,
+                  reply.uid, reply.state, reply.error);
     client_server_.reply(reply.request, reply.status, wire::encode_user_reply(reply),
                          refused ? reply.retry_after_s : 0, refused, sockets::ClientKind::user);
 }
 
 void Gateway::perform(const core::WorkerReply& reply) {
+    spdlog::debug("request {}: reply {} to a worker, token {}, {} commands, owner {}",
+                  reply.request, reply.status, reply.token, reply.commands.size(), reply.owner);
     if (peer_server_.is_pending(reply.request)) {
         peer_server_.reply(reply.request, http_status::ok, wire::encode_peer_reply(reply));
     } else {
@@ -198,12 +269,14 @@
     wire::HttpRequest request = wire::worker_request(call);
     worker_client(call.address)
         .request(request.method, request.target, request.body, constants::direct_command_timeout_s,
-                 [this, id = call.id](const HttpMessage* response) {
-                     handle_worker_response(id, response);
+                 [this, id = call.id, address = call.address](const HttpMessage* response) {
+                     handle_worker_response(id, address, response);
                  });
 }
 
-void Gateway::handle_worker_response(std::uint64_t call, const HttpMessage* response) {
+void Gateway::handle_worker_response(std::uint64_t call, const std::string& address,
+                                     const HttpMessage* response) {
+    HandledMessage scope({"machine", "", address, body_of(response)});
     core::WorkerCommandReply reply;
     if (response != nullptr) {
         reply.answered = true;
@@ -222,12 +295,16 @@
     }
     double timeout_s =
         call.relayed_heartbeat ? constants::relay_timeout_s : constants::peer_heartbeat_interval_s;
-    peer->second->request(
-        "POST", wire::peer_path, wire::encode_peer_call(settings_.name, call), timeout_s,
-        [this, id = call.id](const HttpMessage* response) { handle_peer_response(id, response); });
+    peer->second->request("POST", wire::peer_path, wire::encode_peer_call(settings_.name, call),
+                          timeout_s,
+                          [this, id = call.id, name = call.peer](const HttpMessage* response) {
+                              handle_peer_response(id, name, response);
+                          });
 }
 
-void Gateway::handle_peer_response(std::uint64_t call, const HttpMessage* response) {
+void Gateway::handle_peer_response(std::uint64_t call, const std::string& peer,
+                                   const HttpMessage* response) {
+    HandledMessage scope({"controller", "", peer, body_of(response)});
     std::optional<core::WorkerReply> reply;
     if (response != nullptr && response->status == http_status::ok && !response->body.empty()) {
         reply = wire::decode_peer_reply(response->body).to_optional();
--- a/src/io/gateway.hpp
+++ b/src/io/gateway.hpp
@@ -12,6 +12,7 @@
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
 #include "io/loop.hpp"
+#include "io/refused_messages.hpp"
 #include "io/store_client.hpp"
 
 namespace cranemoor::io {
@@ -28,6 +29,7 @@
 
   private:
     // Requests from users and workers.
+    void route_client(std::uint64_t request, const HttpMessage& message);
     void serve_client(std::uint64_t request, const HttpMessage& message);
     void serve_health(std::uint64_t request);
     void serve_heartbeat(std::uint64_t request, const std::string& body);
@@ -36,6 +38,10 @@
     void serve_unrouted(std::uint64_t request, const std::string& path);
     // Requests from the other controllers.
     void serve_peer(std::uint64_t request, const HttpMessage& message);
+    void route_peer(std::uint64_t request, const HttpMessage& message);
+
+    void tick();
+    void log_refused_messages();
 
     // Performs the controller's pending actions until none is left.
     void perform_actions();
@@ -47,14 +53,18 @@
     void perform(const core::PeerCall& call);
     static void perform(const core::LogLine& line);
 
-    void handle_worker_response(std::uint64_t call, const HttpMessage* response);
-    void handle_peer_response(std::uint64_t call, const HttpMessage* response);
+    void handle_worker_response(std::uint64_t call, const std::string& address,
+                                const HttpMessage* response);
+    void handle_peer_response(std::uint64_t call, const std::string& peer,
+                              const HttpMessage* response);
+    void count_rejected(const std::string& listener, const std::string& target, int status);
     HttpClient& worker_client(const std::string& address);
     void prune_worker_clients();
 
     Loop& loop_;
     const core::Settings settings_;
     core::Controller& controller_;
+    RefusedMessages refused_messages_;
     HttpServer client_server_;
     HttpServer peer_server_;
     StoreClient store_client_;
@@ -63,6 +73,7 @@
     std::map<std::string, std::unique_ptr<HttpClient>> worker_clients_;  // by address
     Timer tick_timer_;
     Timer prune_timer_;
+    Timer refused_messages_timer_;
     bool is_performing_ = false;  // prevents recursion through callbacks
 };
 
--- a/src/io/http_parser.hpp
+++ b/src/io/http_parser.hpp
@@ -24,6 +24,11 @@
     const std::string* header(std::string_view name) const;
 };
 
+/// The body of a response; empty if there is none.
+inline std::string_view body_of(const HttpMessage* response) {
+    return response == nullptr ? std::string_view() : std::string_view(response->body);
+}
+
 /// Parses the messages of one connection (RFC 9112). Limits: `constants::head_bytes_max` bytes of
 /// start line, headers and trailers, and `body_bytes_max` bytes of body.
 class HttpParser {
@@ -42,6 +47,8 @@
     State feed(std::string_view bytes);
     /// Returns the complete message and resets the parser for the next one.
     HttpMessage take();
+    /// The target of the message so far; empty before its start line was read.
+    const std::string& target() const { return message_.target; }
     /// Whether no byte of the next message has been received.
     bool idle() const { return stage_ == Stage::start && buffer_.empty(); }
     /// Bytes in memory: the body so far and the unparsed input.
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -230,6 +230,9 @@
 }
 
 void HttpServer::reject(std::uint64_t id, Connection& connection, int status) {
+    if (on_reject) {
+        on_reject(connection.parser.target(), status);
+    }
     connection.output += http_response(status, "", false);
     connection.is_closing = true;
     write(id, connection);
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -41,6 +41,9 @@
                bool close = false, sockets::ClientKind client = sockets::ClientKind::unknown);
     /// Whether a request of this server still awaits its response.
     bool is_pending(std::uint64_t request) const { return requests_.contains(request); }
+    /// Called with the target and the status of each request that is rejected before it reaches the
+    /// handler; the target is empty if it was not read. Optional.
+    std::function<void(const std::string& target, int status)> on_reject;
     /// Number of open connections.
     std::size_t connections() const { return connections_.size(); }
 
--- a/src/io/store_client.cpp
+++ b/src/io/store_client.cpp
@@ -1,10 +1,13 @@
 #include "io/store_client.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
 
 #include "core/model/constants.hpp"
+#include "io/crash_report.hpp"
 #include "wire/store_messages.hpp"
 
 namespace cranemoor::io {
@@ -25,8 +28,11 @@
 
 }  // namespace
 
-StoreClient::StoreClient(Loop& loop, const core::Settings& settings, Callback callback)
-    : callback_(std::move(callback)),
+StoreClient::StoreClient(Loop& loop, const core::Settings& settings,
+                         RefusedMessages& refused_messages, Callback callback)
+    : refused_messages_(refused_messages),
+      source_("key-value store " + settings.store_address),
+      callback_(std::move(callback)),
       call_client_(loop, settings.store_address, constants::store_connections_max,
                    constants::store_response_bytes_max),
       watch_client_(loop, settings.store_address, constants::watch_connections_max,
@@ -133,8 +139,11 @@
         {queued.not_before - now, request_bucket(queued).wait_s(now, 1), writes_wait_s});
 }
 
-void StoreClient::send(const QueuedCall& queued) {
+void StoreClient::send(QueuedCall queued) {
     auto request = wire::store_request(queued.call);
+    queued.method = request.method;
+    queued.target = request.target;
+    queued.sent_at = Loop::now().steady;
     HttpClient& client = queued.is_watch() ? watch_client_ : call_client_;
     double timeout_s = queued.is_watch() ? constants::watch_duration_max_ms / 1000.0 +
                                                constants::watch_timeout_margin_s
@@ -145,6 +154,7 @@
 }
 
 void StoreClient::handle_response(const QueuedCall& queued, const HttpMessage* response) {
+    HandledMessage scope({source_, queued.method, queued.target, body_of(response)});
     bool is_rate_limited = response != nullptr && response->status == http_too_many_requests;
     if (is_rate_limited && queued.retries < constants::store_rate_limit_retries_max) {
         retry(queued);
@@ -152,11 +162,24 @@
     }
     core::StoreReply reply;
     if (response != nullptr) {
+        HandledMessage::set_step("decode_store_reply");
         reply = wire::decode_store_reply(queued.call, response->status, response->body);
     }
+    log_reply(queued, response, reply);
+    HandledMessage::set_step("store_reply");
     callback_(queued.call.id, reply);
 }
 
+// What was read from the store, and when.
+void StoreClient::log_reply(const QueuedCall& queued, const HttpMessage* response,
+                            const core::StoreReply& reply) const {
+    if (spdlog::should_log(spdlog::level::debug)) {
+        spdlog::debug("{}: {} {}: status {}, revision {}, after {:.3f} s", source_, queued.method,
+                      queued.target, response == nullptr ? 0 : response->status, reply.revision,
+                      Loop::now().steady - queued.sent_at);
+    }
+}
+
 // Retries a call that exceeded the store's limit, which all controllers share. The store did not
 // execute it.
 void StoreClient::retry(QueuedCall queued) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 
 #include "config/settings.hpp"
 #include "core/controller/controller.hpp"
+#include "io/crash_report.hpp"
 #include "io/gateway.hpp"
 #include "io/loop.hpp"
 
@@ -29,6 +30,24 @@
     return fmt::format("{:08x}{:08x}", random(), random());
 }
 
+// Serves until an error ends the process; returns the exit code.
+int serve(const cranemoor::core::Settings& settings, const cranemoor::core::Tunables& tunables) {
+    std::signal(SIGPIPE, SIG_IGN);
+    cranemoor::io::Loop loop;
+    cranemoor::core::Controller controller(settings, tunables, make_boot_id());
+    cranemoor::io::Gateway gateway(loop, settings, controller);
+    spdlog::info("controller {} in zone {}: serving clients on {}", settings.name, settings.zone,
+                 settings.listen_address);
+    try {
+        gateway.start();
+        loop.run();
+    } catch (const std::exception& error) {
+        cranemoor::io::report_fatal_error(error.what());
+        return 1;
+    }
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -54,17 +73,10 @@
             std::puts("settings are valid");
             return 0;
         }
-        std::signal(SIGPIPE, SIG_IGN);
-        cranemoor::io::Loop loop;
-        cranemoor::core::Controller controller(settings, tunables, make_boot_id());
-        cranemoor::io::Gateway gateway(loop, settings, controller);
-        spdlog::info("controller {} in zone {}: serving clients on {}", settings.name,
-                     settings.zone, settings.listen_address);
-        gateway.start();
-        loop.run();
+        cranemoor::io::install_crash_report();
+        return serve(settings, tunables);
     } catch (const std::exception& error) {
         std::fprintf(stderr, "cranemoor: %s\n", error.what());
         return 1;
     }
-    return 0;
 }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,19 +1,9 @@
 // The controller program against a fake key-value store, cloud and worker on ephemeral loopback
 // ports: it starts, accepts a job, sends its start to the worker and reports it as done.
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <spawn.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
-#include <csignal>
-#include <cstdio>
-#include <fstream>
-
-#include "io/http_client.hpp"
 #include "io/http_server.hpp"
-#include "ports.hpp"
+#include "program_fixture.hpp"
 #include "wire/cbor.hpp"
 #include "wire/worker_messages.hpp"
 
@@ -114,82 +104,6 @@
     std::vector<Json> events_;
 };
 
-struct Program : ::testing::Test {
-    void SetUp() override {
-        path = ::testing::TempDir() + "cranemoor-" + std::to_string(::getpid()) + ".toml";
-        std::ofstream(path) << "node_name = \"n0\"\nzone = \"a\"\nserve_on = \""
-                            << loopback_address(users_port) << "\"\nback = \""
-                            << loopback_address(free_port()) << "\"\n[services]\ncloud = \""
-                            << loopback_address(cloud_port) << "\"\nstate = \""
-                            << loopback_address(store_port)
-                            << "\"\n[settings]\nzones = [\"a\"]\n[[settings.teams]]\nname = \"t\"\n"
-                               "[settings.workers]\nreport_s = 1.0\nlease_s = 24.0\n"
-                               "gang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 44.0\n"
-                               "[settings.state]\nrps = 200.0\nwrite_rps = 50.0\nvalue_kb = 8.0\n"
-                               "txn_ops = 12\n[settings.cloud]\nrps = 5.0\n"
-                               "[settings.machine_limits]\nmax_connections = 100\n";
-    }
-    void TearDown() override {
-        if (child > 0) {
-            ::kill(child, SIGKILL);
-            ::waitpid(child, nullptr, 0);
-        }
-        std::remove(path.c_str());
-    }
-    static int start(std::vector<std::string> arguments) {
-        std::vector<char*> argv;
-        std::string program = CRANEMOOR_PROGRAM;
-        argv.push_back(program.data());
-        for (auto& argument : arguments) {
-            argv.push_back(argument.data());
-        }
-        argv.push_back(nullptr);
-        pid_t pid = -1;
-        ::posix_spawn(&pid, program.c_str(), nullptr, nullptr, argv.data(), environ);
-        return pid;
-    }
-    static int exit_code(std::vector<std::string> arguments) {
-        int status = -1;
-        ::waitpid(start(std::move(arguments)), &status, 0);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-    // Repeats the request until `accept` holds for a reply, at most `tries` times; null if it never
-    // does.
-    std::optional<HttpMessage> ask(const std::string& method, const std::string& target,
-                                   const std::string& body,
-                                   const std::function<bool(const HttpMessage&)>& accept,
-                                   int tries = 200) {
-        std::optional<HttpMessage> result;
-        io::HttpClient client(loop, loopback_address(users_port), 1, 1 << 20);
-        io::Timer retry(loop,
-                        [&] { send(client, method, target, body, accept, tries, result, retry); });
-        retry.start(0);
-        loop.run();
-        return result;
-    }
-    void send(io::HttpClient& client, const std::string& method, const std::string& target,
-              const std::string& body, const std::function<bool(const HttpMessage&)>& accept,
-              int& tries, std::optional<HttpMessage>& result, io::Timer& retry) {
-        client.request(method, target, body, 3, [&, this](const HttpMessage* message) {
-            if (message != nullptr && accept(*message)) {
-                result = *message;
-                loop.stop();
-            } else if (--tries == 0) {
-                loop.stop();
-            } else {
-                retry.start(0.05);
-            }
-        });
-    }
-
-    io::Loop loop;
-    int users_port = free_port();
-    int store_port = free_port();
-    int cloud_port = free_port();
-    std::string path;
-    int child = 0;
-};
-
 TEST_F(Program, ExitCodeTellsWhetherTheSettingsAreValid) {
     EXPECT_EQ(exit_code({"--config", path, "--check-config"}), 0);
     EXPECT_EQ(exit_code({"--version"}), 0);
@@ -218,7 +132,7 @@
                             : Json{{"roosts", Json::array()}};
             cloud.reply(request, 200, wire::encode_cbor(body));
         });
-    child = start({"--config", path});
+    start_controller();
     ASSERT_GT(child, 0);
     auto has_status = [](int status) {
         return [status](const HttpMessage& message) { return message.status == status; };
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -40,12 +40,14 @@
             server.reply(request, 200, wire::encode_cbor({{"tide", 1}}));
         });
     std::size_t answered = 0;
-    io::StoreClient client(loop, settings, [&](std::uint64_t, const core::StoreReply& reply) {
-        EXPECT_EQ(reply.status, core::StoreReply::Status::ok);
-        if (++answered == 8) {
-            loop.stop();
-        }
-    });
+    io::RefusedMessages refused_messages;
+    io::StoreClient client(loop, settings, refused_messages,
+                           [&](std::uint64_t, const core::StoreReply& reply) {
+                               EXPECT_EQ(reply.status, core::StoreReply::Status::ok);
+                               if (++answered == 8) {
+                                   loop.stop();
+                               }
+                           });
     client.call(transaction(1, 60, core::Urgency::normal));  // uses up the write budget
     for (std::uint64_t id = 2; id <= 4; ++id) {
         client.call(transaction(id, 1, core::Urgency::low));
