Wire: a body of nested chunk heads no longer ends the controller that reads it

What callers saw: controllers kept ending, all three in turn, and most requests stayed unanswered. One submission of 60,000 bytes 0x5F was sent 49 times; each time the controller that read it ended, and its user sent it to the next.

Cause: a limit checked in one layer, and the work that it limits done in another one below. 0x5F and 0x7F are heads of strings of indefinite length. The library's reader called itself for each such head inside a string; `message_depth_max` was checked only where values are built, which is told nothing of chunks.

Change: libcbor's event-driven decoder reads one head at a time and the values are built from its events without recursion. Depth, chunks and declared sizes are checked there, before anything is entered or set aside, for every message that comes in. Chunks must be strings of definite length (RFC 8949, 3.2.3); any number of them is accepted.

--- a/src/core/model/constants.hpp
+++ b/src/core/model/constants.hpp
@@ -494,8 +494,8 @@
 inline constexpr std::size_t head_bytes_max = 16384;
 /// Most digits of a chunk size: enough for any body within the limits.
 inline constexpr std::size_t chunk_size_digits_max = 8;
-/// Most levels of nesting in a body. The decoder calls itself for each level: a body of nothing but
-/// opening brackets must not exhaust the stack.
+/// Most levels of nesting in a body. A decoded value is copied, encoded and destroyed by functions
+/// that call themselves for each level.
 inline constexpr std::size_t message_depth_max = 24;
 
 // --- settings -----------------------------------------------------------------------------
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -12,7 +12,9 @@
 using Json = nlohmann::json;
 
 /// Decodes a body that consists of exactly one CBOR value. Returns an error for anything else, for
-/// byte strings, and for a value nested deeper than `constants::message_depth_max`.
+/// byte strings, tags and undefined, and for a value nested deeper than
+/// `constants::message_depth_max`. Stack and memory are bounded whatever the body is. Of a key that
+/// repeats in a map the last value counts. Integers below -2^63 become floats.
 Decoded<Json> decode_cbor(const std::string& body);
 
 /// Like `decode_cbor`, but accepts only a map, which the body of every message must be.
