Heartbeats: leases no longer end while all controllers keep ending

Cause: a right that lapsed while the answer that renews it was held back. The reply to a machine with room on which nothing ends by itself is held open for 3 s. A controller that lives for three seconds ends with that reply, each time, and the worker's lease runs on from the last answered report.

Change: a reply is held only while the last report that this process answered is younger than half of the lease, so the first report to a new owner is answered at once.

Result: `ThreeControllerHeartbeatTest.LeasesOfServicesAreKeptWhileAllControllersKeepEnding` failed before (agent epoch 3 on all machines) and passes.

--- a/src/core/agents/heartbeat_replies.cpp
+++ b/src/core/agents/heartbeat_replies.cpp
@@ -28,6 +28,7 @@
         return;
     }
     reply.status = 200;
+    machine.answered_heartbeat_at = machine.last_heartbeat_at;
     reply.token = ctx_.fencing_token;
     if (machine.adopted) {
         std::set<TaskId> live = add_stops_and_forgets(machine, reply);
@@ -82,6 +83,13 @@
     }
 }
 
+// A held reply is lost if this process ends. Whether an earlier controller answered the worker is
+// not known here.
+bool HeartbeatReplies::is_lease_fresh(const Machine& machine) const {
+    return ctx_.now.steady - machine.answered_heartbeat_at <
+           ctx_.settings.lease_s * constants::held_reply_lease_share;
+}
+
 void HeartbeatReplies::send_due() {
     // Machines whose heartbeat another function has answered leave the list only here. Until then
     // the registry keeps them, since the list points to them; see `FailureDetector::can_forget`.
@@ -127,7 +135,7 @@
     }
     change_expected =
         change_expected || machine.tasks.size() > registry_.placements_on(machine).tasks.size();
-    if (accepts_claims && !change_expected && !overdue &&
+    if (accepts_claims && !change_expected && !overdue && is_lease_fresh(machine) &&
         registry_.free_resources(machine).cpus > Resources::rounding_tolerance) {
         // No task there ends by itself, so the worker has nothing to report. Its reply is held open
         // so that a job that arrives meanwhile starts without waiting for the next heartbeat.
--- a/src/core/agents/heartbeat_replies.hpp
+++ b/src/core/agents/heartbeat_replies.hpp
@@ -37,6 +37,9 @@
     std::set<TaskId> add_stops_and_forgets(Machine& machine, WorkerReply& reply) const;
     void add_starts(Machine& machine, const std::set<TaskId>& live, WorkerReply& reply);
 
+    // Whether this process has renewed the worker's lease a short while ago.
+    bool is_lease_fresh(const Machine& machine) const;
+
     Context& ctx_;
     const Membership& membership_;
     AgentRegistry& registry_;
--- a/src/core/agents/machine.hpp
+++ b/src/core/agents/machine.hpp
@@ -86,6 +86,8 @@
     // Listed in `HeartbeatReplies`: its request is open or was answered since the last tick.
     bool awaiting_reply = false;
     double reply_deadline = 0;
+    // Receipt of the last heartbeat that this process answered with 200.
+    double answered_heartbeat_at = never_s;
     int claims_in_flight = 0;        // claim writes for it without a result yet
     bool seen_by_scheduler = false;  // a scheduling round has seen it since that heartbeat
 
--- a/src/core/model/constants.hpp
+++ b/src/core/model/constants.hpp
@@ -281,6 +281,8 @@
 /// How long the reply to a machine with room is held open while nothing ends there, so that a new
 /// job starts at once: below the workers' 4 s by what a slow controller and the network may take.
 inline constexpr double idle_heartbeat_reply_hold_s = 3.0;
+/// Share of a worker's lease after which the reply that renews it is no longer held open.
+inline constexpr double held_reply_lease_share = 0.5;
 /// Longest time between two heartbeats, as a multiple of the setting `heartbeat_interval_s`.
 inline constexpr double heartbeat_interval_factor = 1.25;
 /// Time beyond that after which a machine counts as silent. A timeout of 4 s at one controller is
--- a/tests/heartbeat_test.cpp
+++ b/tests/heartbeat_test.cpp
@@ -53,6 +53,29 @@
     }
 }
 
+TEST_F(ThreeControllerHeartbeatTest, LeasesOfServicesAreKeptWhileAllControllersKeepEnding) {
+    for (int i = 0; i < 9; ++i) {
+        cluster.add_machine(fmt::format("vm-50000{}", i),
+                            cluster.settings.zones[static_cast<std::size_t>(i) % 3]);
+    }
+    start_cluster(3);
+    cluster.submit_and_wait(0, cluster.make_job(1, JobKind::service, 9));
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.running_tasks("req-000001") == 9; }, 30));
+    cluster.run_for(10);
+    for (int ends = 0; ends < 15; ++ends) {
+        for (int node = 0; node < 3; ++node) {
+            cluster.kill(node);
+        }
+        cluster.run_for(1);
+        cluster.start_all();
+        cluster.run_for(3);
+    }
+    for (const auto& [name, worker] : cluster.machines) {
+        EXPECT_EQ(worker.agent_epoch, 1U) << name;
+    }
+    EXPECT_EQ(cluster.running_tasks("req-000001"), 9);
+}
+
 TEST_F(ThreeControllerHeartbeatTest, OwnerCutOffFromWorkersReleasesNoMachine) {
     // Guards against the release of healthy machines: relayed heartbeats arrive a moment after
     // silence is detected, and their replies were held open longer than the relay waits. 132
