Ctl: a job file nested without bound is refused with its line

What users saw: `cranemoorctl submit` of a file of 200,000 nested arrays ended with signal 11.

Change: `ctl::read_job_file`, a module of its own now, counts levels while it parses and refuses what is deeper than a message may be, with exit code 2 and the line.

Result: `Ctl.JobFileNestedWithoutBoundIsRefusedWithItsLine` passes; the program before ended with signal 11 on the second of its files.

--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -2,11 +2,9 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <iterator>
 
 #include "ctl/client_request.hpp"
-#include "wire/cbor.hpp"
+#include "ctl/job_file.hpp"
 #include "wire/user_messages.hpp"
 
 namespace {
@@ -21,34 +19,6 @@
     return static_cast<int>(ctl::ExitCode::usage_error);
 }
 
-/// A job read from a file, or the error in the file.
-struct JobFile {
-    Json job;
-    std::string error;  // empty: no error
-};
-
-/// Reads and validates a submission in JSON; the file "-" is standard input.
-JobFile read_job_file(const std::string& file) {
-    std::ifstream file_input;
-    if (file != "-") {
-        file_input.open(file, std::ios::binary);
-        if (!file_input) {
-            return {Json(), file + ": cannot open the file"};
-        }
-    }
-    std::istream& input = file == "-" ? std::cin : file_input;
-    std::string text{std::istreambuf_iterator<char>(input), std::istreambuf_iterator<char>()};
-    Json job = Json::parse(text, nullptr, false);
-    if (job.is_discarded()) {
-        return {Json(), file + ": not JSON"};
-    }
-    auto spec = wire::decode_submission(wire::encode_cbor(job));
-    if (!spec) {
-        return {Json(), file + ": " + spec.error().error.message};
-    }
-    return {std::move(job), ""};
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -89,11 +59,11 @@
 
     Json job;
     if (*submit) {
-        JobFile read = read_job_file(file);
-        if (!read.error.empty()) {
-            return usage_error(read.error);
+        try {
+            job = ctl::read_job_file(file);
+        } catch (const ctl::JobFileError& error) {
+            return usage_error(error.what());
         }
-        job = std::move(read.job);
     } else if (!wire::is_valid_uid(uid)) {
         return usage_error("invalid job uid: " + uid);
     }
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -143,5 +143,17 @@
     std::remove(file.c_str());
 }
 
+TEST_F(Ctl, JobFileNestedWithoutBoundIsRefusedWithItsLine) {
+    std::string output;
+    std::string file = ::testing::TempDir() + "nested-" + std::to_string(::getpid()) + ".json";
+    std::ofstream(file) << "{\"uid\":\n" << std::string(200000, '[');
+    EXPECT_EQ(run({"submit", file}, output), 2);
+    EXPECT_EQ(output, "cranemoorctl: " + file + ": line 2: nested too deep\n");
+    std::ofstream(file) << std::string(200000, '[') << std::string(200000, ']');
+    EXPECT_EQ(run({"submit", file}, output), 2);
+    EXPECT_EQ(output, "cranemoorctl: " + file + ": line 1: nested too deep\n");
+    std::remove(file.c_str());
+}
+
 }  // namespace
 }  // namespace cranemoor
