Wire: replies that can't be decoded count as no answer, and are counted by sender

Cause: a reply of the key-value store that was not CBOR was read as an empty map, so its status alone decided: 404 said that a key is absent, 409 that a condition failed, and a transaction answered 200 without a revision counted as carried out. A machine or a controller that answered anything at all counted as having answered. All of these are statements that only the addressee itself can make.

Change: the decoders of replies return an error, the clients take it as no answer, and the line every ten seconds names the sender and the reason. Empty bodies stay allowed where a reply may have none.

Result: `Wire.RepliesThatAreNotCborProveNothingWhateverTheirStatus` passes; `decode_store_reply` before gave `not_found`, `conflict` or `refused` for them.

--- a/src/io/cloud_client.cpp
+++ b/src/io/cloud_client.cpp
@@ -57,13 +57,23 @@
                     [this, call, method = request.method,
                      target = request.target](const HttpMessage* response) {
                         HandledMessage scope({source_, method, target, body_of(response)});
-                        core::CloudReply reply;
-                        if (response != nullptr) {
-                            reply =
-                                wire::decode_cloud_reply(call, response->status, response->body);
-                        }
-                        callback_(call.id, reply);
+                        handle_response(call, response);
                     });
 }
 
+void CloudClient::handle_response(const core::CloudCall& call, const HttpMessage* response) {
+    core::CloudReply reply;
+    if (response != nullptr) {
+        HandledMessage::set_step("decode_cloud_reply");
+        auto decoded = wire::decode_cloud_reply(call, response->status, response->body);
+        if (decoded) {
+            reply = std::move(*decoded);
+        } else {
+            refused_messages_.count(source_, decoded.error().message);
+        }
+    }
+    HandledMessage::set_step("cloud_reply");
+    callback_(call.id, reply);
+}
+
 }  // namespace cranemoor::io
--- a/src/io/cloud_client.hpp
+++ b/src/io/cloud_client.hpp
@@ -29,6 +29,7 @@
   private:
     void send_queued();
     void send(const core::CloudCall& call);
+    void handle_response(const core::CloudCall& call, const HttpMessage* response);
 
     RefusedMessages& refused_messages_;
     const std::string source_;  // names the cloud in log lines
--- a/src/io/gateway.cpp
+++ b/src/io/gateway.cpp
@@ -279,9 +279,12 @@
     HandledMessage scope({"machine", "", address, body_of(response)});
     core::WorkerCommandReply reply;
     if (response != nullptr) {
-        reply.answered = true;
-        reply.executed = response->status == http_status::ok;
-        reply.heartbeat = wire::decode_heartbeat_body(response->body).to_optional();
+        auto decoded = wire::decode_worker_command_reply(response->status, response->body);
+        if (decoded) {
+            reply = std::move(*decoded);
+        } else {
+            refused_messages_.count("machine at " + address, decoded.error().message);
+        }
     }
     controller_.worker_command_reply(Loop::now(), call, reply);
     perform_actions();
@@ -305,11 +308,18 @@
 void Gateway::handle_peer_response(std::uint64_t call, const std::string& peer,
                                    const HttpMessage* response) {
     HandledMessage scope({"controller", "", peer, body_of(response)});
+    bool answered = false;
     std::optional<core::WorkerReply> reply;
-    if (response != nullptr && response->status == http_status::ok && !response->body.empty()) {
-        reply = wire::decode_peer_reply(response->body).to_optional();
+    if (response != nullptr) {
+        auto decoded = wire::decode_peer_response(response->status, response->body);
+        if (decoded) {
+            answered = true;
+            reply = std::move(*decoded);
+        } else {
+            refused_messages_.count("controller " + peer, decoded.error().message);
+        }
     }
-    controller_.peer_reply(Loop::now(), call, response != nullptr, reply);
+    controller_.peer_reply(Loop::now(), call, answered, reply);
     perform_actions();
 }
 
--- a/src/io/store_client.cpp
+++ b/src/io/store_client.cpp
@@ -163,7 +163,12 @@
     core::StoreReply reply;
     if (response != nullptr) {
         HandledMessage::set_step("decode_store_reply");
-        reply = wire::decode_store_reply(queued.call, response->status, response->body);
+        auto decoded = wire::decode_store_reply(queued.call, response->status, response->body);
+        if (decoded) {
+            reply = std::move(*decoded);
+        } else {
+            refused_messages_.count(source_, decoded.error().message);
+        }
     }
     log_reply(queued, response, reply);
     HandledMessage::set_step("store_reply");
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -261,6 +261,10 @@
     return value;
 }
 
+Decoded<Json> decode_reply_map(const std::string& body) {
+    return body.empty() ? Decoded<Json>(Json::object()) : decode_cbor_map(body);
+}
+
 std::string encode_cbor(const Json& value) {
     std::string encoded;
     Json::to_cbor(value, encoded);
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -20,6 +20,9 @@
 /// Like `decode_cbor`, but accepts only a map, which the body of every message must be.
 Decoded<Json> decode_cbor_map(const std::string& body);
 
+/// Like `decode_cbor_map`, but an empty body is an empty map: replies may have none.
+Decoded<Json> decode_reply_map(const std::string& body);
+
 std::string encode_cbor(const Json& value);
 
 /// Whether the text is valid UTF-8. Text that is not can't be stored in any record.
--- a/src/wire/cloud_messages.cpp
+++ b/src/wire/cloud_messages.cpp
@@ -149,13 +149,15 @@
     return launch_request(call);
 }
 
-CloudReply decode_cloud_reply(const CloudCall& call, int status, const std::string& body) {
-    auto decoded = decode_cbor_map(body);
-    Json map = decoded ? std::move(*decoded) : Json::object();
+Decoded<CloudReply> decode_cloud_reply(const CloudCall& call, int status, const std::string& body) {
+    auto map = decode_reply_map(body);
+    if (!map) {
+        return map.error();
+    }
     try {
-        return read_reply(call, status, map);
+        return read_reply(call, status, *map);
     } catch (const Json::exception&) {
-        return {};
+        return DecodeError{"", malformed_reply};
     }
 }
 
--- a/src/wire/decode_error.hpp
+++ b/src/wire/decode_error.hpp
@@ -14,6 +14,9 @@
     std::string message;  ///< error text for the sender; names the field, if any
 };
 
+/// The error for a reply without a field that its kind must have, or with one of another type.
+inline constexpr const char* malformed_reply = "malformed reply";
+
 /// A decoded value, or the reason why there is none, with the access operators of `std::optional`.
 template <typename Value, typename Error = DecodeError>
 class Decoded {
--- a/src/wire/peer_messages.cpp
+++ b/src/wire/peer_messages.cpp
@@ -19,6 +19,7 @@
 // Names in the messages that differ from those in the code: "report" is a relayed heartbeat,
 // "rentals" are launch notices, "pressure" is an overload sample, "home" the machine's owner.
 
+constexpr int status_ok = 200;
 constexpr double unix_time_s_max = 1e12;  // bound on a time in seconds since the Unix epoch
 
 constexpr auto lease_grants =
@@ -225,4 +226,15 @@
     return reply;
 }
 
+Decoded<std::optional<WorkerReply>> decode_peer_response(int status, const std::string& body) {
+    if (status != status_ok || body.empty()) {
+        return std::optional<WorkerReply>();
+    }
+    auto reply = decode_peer_reply(body);
+    if (!reply) {
+        return reply.error();
+    }
+    return std::optional<WorkerReply>(std::move(*reply));
+}
+
 }  // namespace cranemoor::wire
--- a/src/wire/peer_messages.hpp
+++ b/src/wire/peer_messages.hpp
@@ -3,6 +3,7 @@
 /// of two versions exchange messages.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/model/actions.hpp"
@@ -31,4 +32,8 @@
 /// Decodes the reply to a relayed heartbeat.
 Decoded<core::WorkerReply> decode_peer_reply(const std::string& body);
 
+/// Decodes the response to any call. Null if it is not the reply to a relayed heartbeat: its status
+/// is not 200, or it has no body.
+Decoded<std::optional<core::WorkerReply>> decode_peer_response(int status, const std::string& body);
+
 }  // namespace cranemoor::wire
--- a/src/wire/store_messages.cpp
+++ b/src/wire/store_messages.cpp
@@ -146,8 +146,10 @@
         case StoreCall::Kind::grant:
             reply.lease = read_count(map, "tether");
             break;
-        case StoreCall::Kind::renew:
         case StoreCall::Kind::txn:
+            (void)read_count(map, "tide");  // an answer without it could be anybody's
+            break;
+        case StoreCall::Kind::renew:
             break;
     }
 }
@@ -187,13 +189,15 @@
     return transaction_request(call.txn);
 }
 
-StoreReply decode_store_reply(const StoreCall& call, int status, const std::string& body) {
-    auto decoded = decode_cbor_map(body);
-    Json map = decoded ? std::move(*decoded) : Json::object();
+Decoded<StoreReply> decode_store_reply(const StoreCall& call, int status, const std::string& body) {
+    auto map = decode_reply_map(body);
+    if (!map) {
+        return map.error();
+    }
     try {
-        return read_reply(call.kind, status, map);
+        return read_reply(call.kind, status, *map);
     } catch (const std::exception&) {
-        return {};
+        return DecodeError{"", malformed_reply};
     }
 }
 
--- a/src/wire/worker_messages.cpp
+++ b/src/wire/worker_messages.cpp
@@ -17,6 +17,9 @@
 // state of a task, a "cause" an exit reason; "perch" is the agent epoch, "call_seq" the sequence
 // number, "crest" the fencing token, "home_roost" the machine's owner, "settle_s" the grace period.
 
+constexpr int status_executed = 200;      // of direct commands
+constexpr int status_not_executed = 409;  // the token is too low, or the agent epoch differs
+
 constexpr std::size_t task_index_digits_max = 7;  // keeps the index within an int
 
 constexpr auto task_states = std::to_array<EnumName<TaskState>>({{"pulling", TaskState::fetching},
@@ -188,6 +191,21 @@
                          {"calls", encode_commands(call.commands)}})};
 }
 
+Decoded<WorkerCommandReply> decode_worker_command_reply(int status, const std::string& body) {
+    WorkerCommandReply reply;
+    reply.answered = true;
+    reply.executed = status == status_executed;
+    if (body.empty() || (status != status_executed && status != status_not_executed)) {
+        return reply;
+    }
+    auto heartbeat = decode_heartbeat_body(body);
+    if (!heartbeat) {
+        return heartbeat.error();
+    }
+    reply.heartbeat = std::move(*heartbeat);
+    return reply;
+}
+
 Decoded<std::vector<Command>> decode_commands(const Json& list) {
     std::vector<Command> commands;
     for (const auto& entry : list) {
--- a/src/wire/worker_messages.hpp
+++ b/src/wire/worker_messages.hpp
@@ -33,6 +33,9 @@
 /// otherwise "POST /orders".
 HttpRequest worker_request(const core::WorkerCommandCall& call);
 
+/// Decodes the response to `worker_request`. Statuses other than 200 and 409 carry no heartbeat.
+Decoded<core::WorkerCommandReply> decode_worker_command_reply(int status, const std::string& body);
+
 /// Decodes a list of commands to tasks.
 Decoded<std::vector<core::Command>> decode_commands(const Json& list);
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -233,7 +233,7 @@
 TEST(Wire, StoreRepliesAreClassifiedByStatus) {
     StoreCall txn;
     auto status = [&](int code, const Json& body) {
-        return decode_store_reply(txn, code, encode_cbor(body)).status;
+        return decode_store_reply(txn, code, encode_cbor(body))->status;
     };
     using S = StoreReply::Status;
     EXPECT_EQ(status(200, {{"tide", 432}}), S::ok);
@@ -252,25 +252,42 @@
                                         {"log",
                                          {{{"put", "c/9"}, {"value", {{"a", 1}}}, {"ripple", 433}},
                                           {{"drop", "c/d"}, {"ripple", 432}}}}}));
-    ASSERT_EQ(reply.events.size(), 2U);
-    EXPECT_EQ(reply.events[0].key, "c/d");  // sorted by revision
-    EXPECT_FALSE(reply.events[0].value);
-    EXPECT_EQ(decode_store_reply(watch, 200, "garbage").status, S::unknown);
+    ASSERT_EQ(reply->events.size(), 2U);
+    EXPECT_EQ(reply->events[0].key, "c/d");  // sorted by revision
+    EXPECT_FALSE(reply->events[0].value);
+    EXPECT_FALSE(decode_store_reply(watch, 200, ""));
 }
 
 TEST(Wire, CloudRepliesAreClassifiedByStatus) {
     CloudCall launch;
     launch.kind = CloudCall::Kind::launch;
     using S = CloudReply::Status;
-    EXPECT_EQ(decode_cloud_reply(launch, 503, encode_cbor({{"error", "no capacity"}})).status,
+    EXPECT_EQ(decode_cloud_reply(launch, 503, encode_cbor({{"error", "no capacity"}}))->status,
               S::no_capacity);
-    EXPECT_EQ(decode_cloud_reply(launch, 503, encode_cbor({{"error", "trouble"}})).status,
+    EXPECT_EQ(decode_cloud_reply(launch, 503, encode_cbor({{"error", "trouble"}}))->status,
               S::unknown);
-    EXPECT_EQ(decode_cloud_reply(launch, 429, "").status, S::refused);
-    EXPECT_EQ(decode_cloud_reply(launch, 400, "").status, S::bad_request);
+    EXPECT_EQ(decode_cloud_reply(launch, 429, "")->status, S::refused);
+    EXPECT_EQ(decode_cloud_reply(launch, 400, "")->status, S::bad_request);
     auto launched = decode_cloud_reply(launch, 200, encode_cbor({{"roosts", {"vm-1"}}}));
-    EXPECT_EQ(launched.machines, std::vector<std::string>{"vm-1"});
-    EXPECT_EQ(decode_cloud_reply(launch, 200, encode_cbor({{"roosts", 7}})).status, S::unknown);
+    EXPECT_EQ(launched->machines, std::vector<std::string>{"vm-1"});
+    EXPECT_FALSE(decode_cloud_reply(launch, 200, encode_cbor({{"roosts", 7}})));
+}
+
+TEST(Wire, RepliesThatAreNotCborProveNothingWhateverTheirStatus) {
+    for (int status : {200, 400, 404, 409, 410, 429, 503}) {
+        EXPECT_FALSE(decode_store_reply(StoreCall(), status, "garbage")) << status;
+        EXPECT_FALSE(decode_cloud_reply(CloudCall(), status, "garbage")) << status;
+    }
+    EXPECT_FALSE(decode_store_reply(StoreCall(), 200, ""));
+    EXPECT_FALSE(decode_worker_command_reply(200, "garbage"));
+    EXPECT_FALSE(decode_worker_command_reply(409, "garbage"));
+    EXPECT_FALSE(decode_worker_command_reply(200, encode_cbor(Json::object())));
+    EXPECT_TRUE(decode_worker_command_reply(400, "garbage")->answered);
+    EXPECT_FALSE(decode_worker_command_reply(400, "garbage")->executed);
+    EXPECT_FALSE(decode_peer_response(200, "garbage"));
+    ASSERT_TRUE(decode_peer_response(200, ""));
+    EXPECT_FALSE(*decode_peer_response(200, ""));
+    EXPECT_TRUE(decode_peer_response(503, "garbage"));
 }
 
 TEST(Wire, RequestTargetsArePercentEncoded) {
