Replica: a record that can't be read no longer ends every controller

Decoding a record from the key-value store throws on a form that no version writes, and nothing caught it below main: every controller that watches the records ended, and ended again at each start.

Change: `Context::read_record` is the one place where records are read; it logs the key, the revision and the reason. Without a whole copy work that runs would look absent, so the controller then answers 503, decides nothing and reads all records again until each can be read. A final state that can't be read is no answer.

`Program.SettingsNestedWithoutBoundAreRefused` keeps what held before for TOML and XML of 200,000 levels.

--- a/src/core/context/context.hpp
+++ b/src/core/context/context.hpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <optional>
@@ -63,6 +64,21 @@
                                      fmt::format(format, std::forward<Arguments>(arguments)...)});
     }
 
+    /// Runs `read`, which decodes the record of that key. Returns false, with an error line that
+    /// names the record, if it can't be read: what it says is unknown then, so nothing may be
+    /// decided from its absence.
+    template <typename Read>
+    bool read_record(const std::string& key, Revision revision, Read read) {
+        try {
+            read();
+            return true;
+        } catch (const std::exception& unreadable) {
+            error("record {} at revision {} in the key-value store can't be read: {}", key,
+                  revision, unreadable.what());
+            return false;
+        }
+    }
+
     /// Runs the completion of the call with that id; replies to unknown ids are ignored.
     void store_reply(std::uint64_t id, const StoreReply& reply);
     void cloud_reply(std::uint64_t id, const CloudReply& reply) {
--- a/src/core/jobs/dependencies.cpp
+++ b/src/core/jobs/dependencies.cpp
@@ -184,9 +184,12 @@
         call.key = keys::final_state(dependency);
         ctx_.call_store(call, [this, dependency, uid](const StoreReply& reply) {
             reads_in_flight_.erase(dependency);
-            if (reply.status == StoreReply::Status::ok) {
+            Finished final_state;
+            auto read = [&] { final_state = decode_finished(reply.value); };
+            if (reply.status == StoreReply::Status::ok &&
+                ctx_.read_record(keys::final_state(dependency), reply.revision, read)) {
                 archived_outcomes_[dependency] =
-                    decode_finished(reply.value).cancelled ? Outcome::cancelled : Outcome::done;
+                    final_state.cancelled ? Outcome::cancelled : Outcome::done;
                 jobs_to_check_.insert(uid);
                 tick();
             }
--- a/src/core/membership/replica_sync.cpp
+++ b/src/core/membership/replica_sync.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/replica_sync.hpp"
 
+#include <algorithm>
+
 namespace cranemoor::core {
 
 void ReplicaSync::resume() {
@@ -43,7 +45,11 @@
     // The watch starts at the first page's revision. Later pages may be newer; the watch then
     // repeats changes that they already contain.
     Revision first = first_page_revision == 0 ? page.revision : first_page_revision;
-    ctx_.jobs.load(page.events);
+    if (!apply(page.events)) {
+        reading_ = false;
+        read_again_later();
+        return;
+    }
     if (page.has_more && !page.events.empty()) {
         read_page(page.events.back().key, first);
         return;
@@ -85,12 +91,28 @@
         store_contact_.delay_retries();
         return;
     }
-    for (const auto& event : reply.events) {
-        ctx_.jobs.apply(event);
+    if (!apply(reply.events)) {
+        read_again_later();
+        return;
     }
     ctx_.jobs.advance_revision(reply.revision);
     on_replica_changed();
     watch();
 }
 
+// Returns false at the first record that can't be read.
+bool ReplicaSync::apply(const std::vector<Event>& events) {
+    return std::all_of(events.begin(), events.end(), [this](const Event& event) {
+        return ctx_.read_record(event.key, event.revision, [&] { ctx_.jobs.apply(event); });
+    });
+}
+
+// A replica without one record would show work as absent that may run. Until all can be read this
+// process decides nothing, and `resume` starts the next full read.
+void ReplicaSync::read_again_later() {
+    ctx_.jobs.begin_load();
+    ctx_.replica_complete = false;
+    store_contact_.delay_retries();
+}
+
 }  // namespace cranemoor::core
--- a/src/core/membership/replica_sync.hpp
+++ b/src/core/membership/replica_sync.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "core/context/context.hpp"
 #include "core/membership/store_contact.hpp"
@@ -36,6 +37,8 @@
     void on_page(const StoreReply& page, Revision first_page_revision);
     void watch();
     void on_watch_reply(const StoreReply& reply);
+    bool apply(const std::vector<Event>& events);
+    void read_again_later();
 
     Context& ctx_;
     StoreContact& store_contact_;
--- a/src/core/requests/finished_jobs.cpp
+++ b/src/core/requests/finished_jobs.cpp
@@ -37,8 +37,10 @@
                         if (!open_requests_.is_open(request)) {
                             return;
                         }
-                        if (reply.status == StoreReply::Status::ok) {
-                            Finished final_state = decode_finished(reply.value);
+                        Finished final_state;
+                        auto read = [&] { final_state = decode_finished(reply.value); };
+                        if (reply.status == StoreReply::Status::ok &&
+                            ctx_.read_record(keys::final_state(uid), reply.revision, read)) {
                             add_to_cache(uid, final_state);
                             on_found(&final_state);
                         } else if (reply.status == StoreReply::Status::not_found) {
--- a/src/core/store/job_store.cpp
+++ b/src/core/store/job_store.cpp
@@ -62,12 +62,6 @@
     pending_cancellations_ = std::move(pending_cancellations);
 }
 
-void JobStore::load(const std::vector<Event>& items) {
-    for (const auto& item : items) {
-        apply(item);
-    }
-}
-
 void JobStore::end_load(Revision revision) {
     revision_ = revision;
     loaded_ = true;
--- a/src/core/store/job_store.hpp
+++ b/src/core/store/job_store.hpp
@@ -37,10 +37,9 @@
     /// A newly placed task and its placement.
     using NewPlacement = std::pair<TaskId, Placement>;
 
-    /// Starts a full read of all records: drops everything except pending cancellations.
+    /// Starts a full read of all records, whose pages `apply` takes: drops everything except
+    /// pending cancellations.
     void begin_load();
-    /// Applies one page of results of the full read.
-    void load(const std::vector<Event>& items);
     /// Ends the full read; the replica is complete as of that revision.
     void end_load(Revision revision);
     /// Applies one watch event; events must arrive in order of revision. An event that is not newer
--- a/src/io/crash_report.cpp
+++ b/src/io/crash_report.cpp
@@ -1,11 +1,11 @@
 #include "io/crash_report.hpp"
 
-#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <csignal>
 #include <cstddef>
 #include <exception>
 #include <system_error>
--- a/tests/cbor_fuzz_test.cpp
+++ b/tests/cbor_fuzz_test.cpp
@@ -164,18 +164,18 @@
 
 TEST(CborFuzz, RunsOfEachByteAloneAndInsideOtherValuesAreBounded) {
     const std::vector<std::string> before = {"",
-                                             "\x81",
-                                             "\x9f",
-                                             "\xa1",
-                                             "\xbf",
-                                             "\xa1\x61k",
-                                             "\xbf\x61k",
-                                             "\x7f",
-                                             "\x5f",
-                                             "\x82\x01",
-                                             std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9),
-                                             "\x9f\x7f",
-                                             "\xc1\x81"};
+                                             head(array, 1),
+                                             indefinite_head(array),
+                                             head(map, 1),
+                                             indefinite_head(map),
+                                             encode_member_head("k"),
+                                             indefinite_head(map) + encode_text("k"),
+                                             indefinite_head(text),
+                                             indefinite_head(bytes),
+                                             head(array, 2) + head(unsigned_number, 1),
+                                             head(array, UINT64_MAX),
+                                             indefinite_head(array) + indefinite_head(text),
+                                             head(tag, 1) + head(array, 1)};
     for (int byte = 0; byte < 256; ++byte) {
         for (const auto& start : before) {
             SCOPED_TRACE(::testing::Message()
--- a/tests/nested_body_test.cpp
+++ b/tests/nested_body_test.cpp
@@ -56,6 +56,32 @@
     EXPECT_EXIT(exit_after_decoding_on_a_small_stack(), ::testing::ExitedWithCode(0), "");
 }
 
+// Repeats a text, as nested openings do.
+std::string repeated(const std::string& text, std::size_t count) {
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+TEST_F(Program, SettingsNestedWithoutBoundAreRefused) {
+    constexpr std::size_t levels = 200000;
+    std::string operators = path + ".xml";
+    for (bool is_closed : {false, true}) {
+        std::ofstream(operators) << repeated("<a>", levels)
+                                 << (is_closed ? repeated("</a>", levels) : "");
+        EXPECT_EQ(exit_code({"--config", path, "--operators", operators, "--check-config"}), 1);
+    }
+    for (const char* ends : {"[]", "{}"}) {
+        std::string opening = ends[0] == '[' ? "[" : "{a=";
+        std::string closing(levels, ends[1]);
+        std::ofstream(path) << "node_name = " << repeated(opening, levels) << "1" << closing;
+        EXPECT_EQ(exit_code({"--config", path, "--check-config"}), 1);
+    }
+    std::remove(operators.c_str());
+}
+
 TEST_F(Program, ControllerRefusesBodiesNestedWithoutBoundAndGoesOn) {
     start_controller();
     ASSERT_GT(child, 0);
